--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -27,7 +27,7 @@
 		index := l.queue.Top()
 		s := &l.subs[index]
 		if s.Deadline <= now {
-			l.finish(index, l.endOf(s, Expired), nil, out)
+			l.expire(index, out)
 			continue
 		}
 		r := l.choose(now, s)
@@ -38,15 +38,25 @@
 		}
 		l.queue.Pop()
 		s.queued = false
-		if s.sent == 0 {
-			l.Counters.First++
-		} else {
-			l.Counters.Retries++
-		}
+		l.countSend(s)
 		l.send(now, index, r, out)
 	}
 }
 
+func (l *Leaf) countSend(s *sub) {
+	switch {
+	case s.active > 0:
+		l.Counters.Hedges++
+	case !s.begun:
+		l.Counters.First++
+	case s.sent == 0:
+		l.Counters.Resent++
+	default:
+		l.Counters.Retries++
+	}
+	s.begun = true
+}
+
 // wakeAfterRest wakes when a searcher that paused takes work again.
 func (l *Leaf) wakeAfterRest(now grclock.Millis) {
 	for i := range l.replicas {
@@ -120,16 +130,21 @@
 		if l.subs[index].Deadline > now {
 			return
 		}
-		l.finish(index, l.endOf(&l.subs[index], Expired), nil, out)
+		l.expire(index, out)
 	}
 }
 
+func (l *Leaf) expire(index int32, out *Out) {
+	l.cancelAttempts(index, out)
+	l.finish(index, l.endOf(&l.subs[index], Expired), nil, out)
+}
+
 // endOf returns the honest end of a sub-request without an answer.
 func (l *Leaf) endOf(s *sub, otherwise DoneKind) DoneKind {
 	switch {
 	case s.gone:
 		return SnapshotGone
-	case s.started:
+	case s.started, s.active > 0:
 		return Unknown
 	}
 	return otherwise
--- a/coordination/grleaf/hedge.go
+++ b/coordination/grleaf/hedge.go
@@ -19,9 +19,14 @@
 	case l.latency.Count() < hedgeSamples:
 		return coldHedge
 	}
-	return max(p.HedgeMin, l.latency.At(p.HedgeQuantile)+1)
+	longest := grclock.Millis(hedgeCap * l.typical.Value(1))
+	return max(p.HedgeMin, min(longest, l.latency.At(p.HedgeQuantile))+1)
 }
 
+// hedgeCap times the typical latency is the longest delay of a second copy, so
+// that a searcher that is slow for long does not raise the delay without end.
+const hedgeCap = 4
+
 // checkInFlight walks the attempts from the oldest: it drops those that ended,
 // replaces silent connections and sends second copies.
 func (l *Leaf) checkInFlight(now grclock.Millis, out *Out) {
@@ -43,8 +48,14 @@
 			l.wakeAt(a.sentAt + threshold)
 			break
 		}
-		if !a.hedged && !a.cancelled {
-			l.hedge(now, a, age, out)
+		switch {
+		case a.cancelled:
+		case !a.hedged:
+			l.hedge(now, a, age)
+		case age >= l.abandonAfter(threshold):
+			l.abandonLate(a, out)
+		default:
+			l.wakeAt(a.sentAt + l.abandonAfter(threshold))
 		}
 	}
 	if l.inFlight.size > 0 {
@@ -54,37 +65,45 @@
 	}
 }
 
-// hedge sends a second copy if the sub-request may be repeated, nothing waits
-// in front of it, the budget pays and another searcher has room.
-func (l *Leaf) hedge(now grclock.Millis, a *attempt, age grclock.Millis, out *Out) {
+// hedge queues the sub-request for a second copy if it may be repeated and the
+// budget pays. In the queue its early deadline puts it before newer work.
+func (l *Leaf) hedge(now grclock.Millis, a *attempt, age grclock.Millis) {
 	l.noteSlow(now, &l.replicas[a.replica], age)
 	s := &l.subs[a.sub]
 	if s.Once || int(s.sent) >= l.Policy.MaxAttempts || s.queued {
 		a.hedged = true
 		return
 	}
-	if l.queue.Len() > 0 {
-		l.wakeAt(now + hedgeRecheck)
-		return
-	}
-	if !l.hedges.Can() {
-		a.hedged = true
+	if !l.Hedges.Spend() {
 		l.Counters.HedgesDenied++
-		return
-	}
-	r := l.choose(now, s)
-	if r < 0 {
 		l.wakeAt(now + hedgeRecheck)
 		return
 	}
 	a.hedged = true
-	l.hedges.Spend()
-	l.Counters.Hedges++
-	l.send(now, a.sub, r, out)
+	l.enqueue(a.sub)
+}
+
+// abandonAfter returns how old an attempt gets before it is cancelled in favour
+// of its copy.
+func (l *Leaf) abandonAfter(threshold grclock.Millis) grclock.Millis {
+	return grclock.Millis(l.Policy.AbandonRatio * float64(threshold))
+}
+
+// abandonLate cancels an attempt whose copy is on its way. Otherwise the slots
+// of all searchers could be held by late attempts, whose copies wait for each
+// other's slots.
+func (l *Leaf) abandonLate(a *attempt, out *Out) {
+	s := &l.subs[a.sub]
+	if l.Policy.AbandonRatio <= 0 || s.queued || s.active < 2 {
+		return
+	}
+	a.cancelled = true
+	l.Counters.Cancel++
+	l.act(out, CancelAttempt, a.replica, a.conn, a.id, s.Key, 0)
 }
 
-// hedgeRecheck is the pause before a second copy that found no room is tried
-// again.
+// hedgeRecheck is the pause before a second copy that the budget did not pay
+// is tried again.
 const hedgeRecheck = 2 * grclock.Millisecond
 
 // endSilent replaces a connection on which an attempt got no answer. The
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -135,8 +135,9 @@
 	HedgeQuantile  float64        // latency quantile after which a second copy is sent; 0 sends none
 	HedgeDelay     grclock.Millis // fixed delay of the second copy in place of the quantile
 	HedgeMin       grclock.Millis // least delay of the second copy
-	HedgeShare     float64        // extra sub-requests for hedges ÷ first ones
-	RetryShare     float64        // extra sub-requests for retries ÷ first ones
+	AbandonRatio   float64        // age ÷ delay of the second copy at which the first is cancelled; 0 never
+	HedgeShare     float64        // extra sub-requests for hedges ÷ first ones, for the budget
+	RetryShare     float64        // extra sub-requests for retries ÷ first ones, for the budget
 	MaxAttempts    int            // copies of one sub-request, the first included
 	MaxQueue       int            // sub-requests that wait
 	SilentLimit    grclock.Millis // an attempt without an answer this long ends its connection
@@ -164,7 +165,8 @@
 // DefaultPolicy returns the policy used where a preset does not say otherwise.
 func DefaultPolicy() Policy {
 	return Policy{
-		HedgeQuantile:  0.95,
+		HedgeQuantile:  0.965,
+		AbandonRatio:   1.5,
 		HedgeMin:       2 * grclock.Millisecond,
 		HedgeShare:     0.04,
 		RetryShare:     0.05,
@@ -175,7 +177,7 @@
 		EjectAfter:     3,
 		EjectFor:       grclock.Second,
 		BackoffMax:     20 * grclock.Millisecond,
-		WindowPerSlot:  2,
+		WindowPerSlot:  1,
 		SpareConns:     1,
 		ReopenInterval: 250 * grclock.Millisecond,
 	}
@@ -184,6 +186,7 @@
 // Counters count what a leaf did since it was made.
 type Counters struct {
 	Submitted, First, Hedges, Retries   uint64
+	Resent                              uint64 // after an attempt that did not start
 	Answered, NotAnswered, LateReplies  uint64
 	Sheds, Ejections, SilentConns       uint64
 	HedgesDenied, RetriesDenied, Cancel uint64
@@ -195,6 +198,8 @@
 type Leaf struct {
 	Policy   Policy
 	Random   grid.Random
+	Hedges   *grstat.Budget // pays for second copies; shared by the leaves of an instance
+	Retries  *grstat.Budget // pays for repeated sub-requests; shared too
 	Counters Counters
 
 	replicas []replica
@@ -209,8 +214,6 @@
 	typical  grstat.Mean // latency of answered attempts
 	gap      grstat.Mean // time between two answers while work waits
 	lastDone grclock.Millis
-	hedges   grstat.Budget
-	retries  grstat.Budget
 	turn     int
 	nextConn ConnID
 	wake     grclock.Millis
@@ -223,6 +226,7 @@
 	gen      uint32
 	active   int8   // attempts without an answer
 	sent     int8   // attempts dispatched
+	begun    bool   // was dispatched before
 	tried    uint64 // searchers that had an attempt, as bits
 	gone     bool   // a searcher said that the snapshot is gone
 	started  bool   // an attempt may have run
@@ -245,33 +249,32 @@
 	sentAt    grclock.Millis
 }
 
-// reserve is the number of extra sub-requests that can be saved up.
-const reserve = 10
-
 // Init prepares the leaf; it must be called once before use.
 func (l *Leaf) Init() {
 	l.byKey = make(map[SubKey]int32)
 	l.wake = grclock.Never
 	l.queue.Less = func(a, b int32) bool { return before(&l.subs[a], &l.subs[b]) }
+	if l.Hedges == nil {
+		l.Hedges = &grstat.Budget{}
+	}
+	if l.Retries == nil {
+		l.Retries = &grstat.Budget{}
+	}
 	l.SetPolicy(l.Policy)
-	l.hedges.Fill()
-	l.retries.Fill()
 }
 
 // SetPolicy changes the policy for what comes after.
 func (l *Leaf) SetPolicy(p Policy) {
 	p.MaxAttempts = min(max(p.MaxAttempts, 1), maxCopies)
 	l.Policy = p
-	l.hedges.Share, l.hedges.Reserve = p.HedgeShare, reserve
-	l.retries.Share, l.retries.Reserve = p.RetryShare, reserve
 }
 
 // Submit takes a sub-request. When too many wait, the one with the latest
 // deadline ends as NotStarted.
 func (l *Leaf) Submit(now grclock.Millis, s Sub, out *Out) {
 	l.Counters.Submitted++
-	l.hedges.Earn()
-	l.retries.Earn()
+	l.Hedges.Earn()
+	l.Retries.Earn()
 	index := l.newSub(s)
 	l.enqueue(index)
 	if l.queue.Len() > l.Policy.MaxQueue {
@@ -351,6 +354,9 @@
 	if s.queued {
 		l.queue.Remove(index)
 		s.queued = false
+		if s.active > 0 {
+			l.Hedges.Refund()
+		}
 	}
 	s.live = false
 	s.gen++
@@ -390,6 +396,7 @@
 	c.First += o.First
 	c.Hedges += o.Hedges
 	c.Retries += o.Retries
+	c.Resent += o.Resent
 	c.Answered += o.Answered
 	c.NotAnswered += o.NotAnswered
 	c.LateReplies += o.LateReplies
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -23,6 +23,7 @@
 	ejections int
 	outUntil  grclock.Millis
 	restUntil grclock.Millis // pause after it shed
+	restStep  int            // doublings of that pause
 	conns     pool
 }
 
@@ -31,7 +32,10 @@
 	latencyWeight = 0.3                       // of the newest sample in the mean
 	forgetAfter   = 400 * grclock.Millisecond // half-life of a searcher's latency while unused
 	loadFresh     = 50 * grclock.Millisecond  // age after which a load report counts half
+	lateRatio     = 2                         // expected latency ÷ age of an attempt that is late
 	slowFloor     = 0.1                       // weight of a searcher that has just started
+	firstRest     = 4 * grclock.Millisecond   // first pause of a searcher that shed
+	maxRestStep   = 8                         // doublings of the pause
 	maxEjectSteps = 5                         // doublings of the span that a searcher stays out
 )
 
@@ -93,7 +97,7 @@
 	best, bestScore := int32(-1), math.Inf(1)
 	for i := range l.replicas {
 		r := &l.replicas[i]
-		if !l.hasRoom(now, r) || l.hasCopy(s, int32(i)) {
+		if !l.hasRoom(now, r) || l.hasCopy(s, int32(i)) && !l.allHaveCopy(s) {
 			continue
 		}
 		score := l.score(now, r, i)
@@ -140,6 +144,17 @@
 	return false
 }
 
+// allHaveCopy reports whether every usable searcher has a copy in flight; a
+// further copy goes to one of them then.
+func (l *Leaf) allHaveCopy(s *sub) bool {
+	for i := range l.replicas {
+		if l.replicas[i].usable() && !l.hasCopy(s, int32(i)) {
+			return false
+		}
+	}
+	return true
+}
+
 // score is the expected time to an answer, up to a factor.
 func (l *Leaf) score(now grclock.Millis, r *replica, index int) float64 {
 	switch l.Policy.Choice {
@@ -155,16 +170,16 @@
 	return wait * jitter / l.warmth(now, r)
 }
 
-// expectedLatency returns to the typical latency of the service while the
-// searcher is unused, so that one that was slow is tried again.
+// expectedLatency returns to the typical latency of the service
+// while the searcher is unused, so that one that was slow is tried again.
 func (l *Leaf) expectedLatency(now grclock.Millis, r *replica) float64 {
 	typical := max(l.typical.Value(1), 0.5)
 	own := r.latency.Value(typical)
-	if own <= typical {
-		return max(own, 0.5)
+	if own > typical {
+		age := float64(now-r.touchedAt) / float64(forgetAfter)
+		own = typical + (own-typical)*math.Exp2(-age)
 	}
-	age := float64(now-r.touchedAt) / float64(forgetAfter)
-	return typical + (own-typical)*math.Exp2(-age)
+	return max(own, 0.5)
 }
 
 // othersLoad is the work of other instances at the searcher, as it last said,
@@ -191,12 +206,12 @@
 	r.touchedAt = now
 }
 
-// noteSlow lifts a searcher's latency to the age of an attempt that has no
-// answer yet.
+// noteSlow lifts a searcher's latency to what an attempt of that age without an
+// answer makes likely.
 func (l *Leaf) noteSlow(now grclock.Millis, r *replica, age grclock.Millis) {
 	own := l.expectedLatency(now, r)
 	r.latency = grstat.Mean{}
-	r.latency.Add(max(own, float64(age)), 1)
+	r.latency.Add(max(own, lateRatio*float64(age)), 1)
 	r.touchedAt = now
 }
 
@@ -239,6 +254,14 @@
 
 func (l *Leaf) noteSuccess(r *replica) { r.failures, r.ejections = 0, 0 }
 
+// rest pauses new work to the searcher, twice as long each time until it
+// answers, with jitter.
+func (l *Leaf) rest(now grclock.Millis, r *replica) {
+	longest := min(l.Policy.BackoffMax, firstRest<<r.restStep)
+	r.restUntil = now + longest/2 + grclock.Millis(l.Random.Below(int(longest/2)+1))
+	r.restStep = min(r.restStep+1, maxRestStep)
+}
+
 func (l *Leaf) narrow(r *replica) {
 	if !l.Policy.FixedWindow {
 		r.window = max(1, r.window*0.7)
--- a/coordination/grleaf/reply.go
+++ b/coordination/grleaf/reply.go
@@ -1,6 +1,9 @@
 package grleaf
 
-import "geraniumrouter/state/grclock"
+import (
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+)
 
 // Reply takes the end of an attempt. Ends of attempts that are not out any
 // more are counted and dropped, so that late and doubled replies change
@@ -29,9 +32,13 @@
 	r.busy--
 	l.noteLoad(now, r, reply.Load)
 	span := now - a.sentAt
+	if reply.Kind == OK || a.cancelled {
+		l.latency.Add(span)
+	}
 	switch reply.Kind {
 	case OK:
 		l.noteSuccess(r)
+		r.restStep = 0
 		l.noteLatency(now, r, span)
 		if reply.Load.Known && reply.Load.Queued > r.Slots {
 			l.narrow(r)
@@ -41,14 +48,14 @@
 	case Shed:
 		l.Counters.Sheds++
 		l.narrow(r)
-		r.restUntil = now + 1 + grclock.Millis(l.Random.Below(int(max(l.Policy.BackoffMax, 1))))
+		l.rest(now, r)
 	case Draining:
 		r.drained = true
 	case Failed:
 		l.noteFailure(now, r)
 	case LostReply, Refused:
 		l.noteFailure(now, r)
-		r.restUntil = now + 1
+		l.rest(now, r)
 	}
 	l.giveBack(a.replica, a.conn, reply.KeepConn, out)
 	l.openWanted(now, a.replica, out)
@@ -57,6 +64,7 @@
 // settleSub takes what the reply means for the sub-request.
 func (l *Leaf) settleSub(now grclock.Millis, index int32, sentAt grclock.Millis, reply Reply, out *Out) {
 	s := &l.subs[index]
+	attempt := reply.Attempt
 	switch reply.Kind {
 	case OK:
 		l.noteAnswer(now, sentAt)
@@ -67,6 +75,8 @@
 		s.gone = true
 	case Failed, LostReply:
 		s.started = true
+	case Shed, Draining, Refused:
+		s.forget(attempt)
 	}
 	if s.active > 0 || s.queued {
 		return
@@ -78,17 +88,32 @@
 	l.enqueue(index)
 }
 
-// mayRetry decides whether the sub-request is sent again. One that is not
-// idempotent is sent again only if it did not start.
+// forget takes back an attempt that did not start, so that it does not count.
+func (s *sub) forget(id grid.AttemptID) {
+	for i := range s.attempts[:s.sent] {
+		if s.attempts[i] == id {
+			s.sent--
+			s.attempts[i] = s.attempts[s.sent]
+			return
+		}
+	}
+}
+
+// mayRetry decides whether the sub-request is sent again. One that did not
+// start is, for as long as its deadline allows: the pause of the searcher that
+// shed it bounds the extra work. Others are paid from the budget, and one that
+// is not idempotent is not sent again once it may have started.
 func (l *Leaf) mayRetry(s *sub, kind ReplyKind) bool {
-	if s.Once && s.started || int(s.sent) >= maxCopies {
-		return false
+	if kind == Shed || kind == Draining || kind == Refused {
+		return !s.started || !s.Once
+	}
+	if kind == Cancelled {
+		return int(s.sent) < maxCopies && l.Retries.Spend()
 	}
-	started := kind != Shed && kind != Draining && kind != Refused
-	if started && (int(s.sent) >= l.Policy.MaxAttempts || !l.hasUntried(s)) {
+	if s.Once && s.started || int(s.sent) >= l.Policy.MaxAttempts || !l.hasUntried(s) {
 		return false
 	}
-	if !l.retries.Spend() {
+	if !l.Retries.Spend() {
 		l.Counters.RetriesDenied++
 		return false
 	}
@@ -112,7 +137,6 @@
 
 func (l *Leaf) noteAnswer(now, sentAt grclock.Millis) {
 	span := now - sentAt
-	l.latency.Add(span)
 	l.typical.Add(float64(span), typicalWeight)
 	if l.queue.Len() > 0 && l.lastDone > 0 {
 		l.gap.Add(float64(now-l.lastDone), gapWeight)
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -16,6 +16,7 @@
 import (
 	"geraniumrouter/coordination/gradmission"
 	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grfault"
 	"geraniumrouter/state/grheap"
@@ -82,6 +83,18 @@
 	Reruns, Refused, Malformed                  uint64
 }
 
+// Add sums the counters of another router into c.
+func (c *Counters) Add(o *Counters) {
+	c.Queries += o.Queries
+	c.Complete += o.Complete
+	c.Partial += o.Partial
+	c.NotRun += o.NotRun
+	c.Unknown += o.Unknown
+	c.Reruns += o.Reruns
+	c.Refused += o.Refused
+	c.Malformed += o.Malformed
+}
+
 // Router runs the queries of one instance. Set the exported fields before
 // Init.
 type Router struct {
@@ -101,6 +114,8 @@
 	wakes       grheap.Heap[leafWake]
 	planned     []grclock.Millis // earliest wake planned for each leaf
 	gate        gradmission.Gate
+	hedges      grstat.Budget // of all leaves
+	retries     grstat.Budget // of all leaves
 	register    grpreset.Register
 	nextID      grid.QueryID
 }
@@ -131,6 +146,9 @@
 	if r.Margin == 0 {
 		r.Margin = defaultMargin
 	}
+	r.setBudgets()
+	r.hedges.Fill()
+	r.retries.Fill()
 	r.collections = make(map[grid.Collection]*collection)
 	r.services = make(map[grid.Service]int32)
 	r.queries = make(map[grid.QueryID]*query)
@@ -148,12 +166,21 @@
 	r.Policy.HedgeShare = a.Preset.HedgeBudget
 	r.Policy.RetryShare = a.Preset.RetryBudget
 	r.Policy.MaxQueue = a.Preset.MaxQueue
+	r.setBudgets()
 	for _, leaf := range r.leaves {
 		leaf.SetPolicy(r.Policy)
 	}
 	return true
 }
 
+// reserve is the number of extra sub-requests that a budget can save up.
+const reserve = 30
+
+func (r *Router) setBudgets() {
+	r.hedges.Share, r.hedges.Reserve = r.Policy.HedgeShare, reserve
+	r.retries.Share, r.retries.Reserve = r.Policy.RetryShare, reserve
+}
+
 // Preset returns the switch in force.
 func (r *Router) Preset() (*grpreset.Active, bool) { return r.register.Active() }
 
@@ -263,7 +290,7 @@
 		return index
 	}
 	index := int32(len(r.leaves))
-	leaf := &grleaf.Leaf{Policy: r.Policy, Random: grid.Random{State: r.Seed ^ grid.Hash(name)}}
+	leaf := &grleaf.Leaf{Policy: r.Policy, Hedges: &r.hedges, Retries: &r.retries, Random: grid.Random{State: r.Seed ^ grid.Hash(name)}}
 	leaf.Init()
 	r.leaves = append(r.leaves, leaf)
 	r.names = append(r.names, name)
--- a/coordination/grstat/budget.go
+++ b/coordination/grstat/budget.go
@@ -23,8 +23,8 @@
 	return true
 }
 
-// Can reports whether Spend would succeed.
-func (b *Budget) Can() bool { return b.tokens >= 1 }
+// Refund gives back a unit that was spent and not used.
+func (b *Budget) Refund() { b.tokens++ }
 
 // Mean is a decaying mean. The zero value has seen no sample.
 type Mean struct {
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -261,6 +261,7 @@
 		"subrequests_first":     sum.First,
 		"subrequests_hedged":    sum.Hedges,
 		"subrequests_retried":   sum.Retries,
+		"subrequests_resent":    sum.Resent,
 		"subrequests_cancelled": sum.Cancel,
 		"hedges_denied":         sum.HedgesDenied,
 		"retries_denied":        sum.RetriesDenied,
