Spread state among instances, divide connections, claim requests, drain

Cause: presets reached instances by the platform's watch alone, connection limits were divided by a lagging list, requests were not claimed and a stop cut off what was in flight.

Holders are now known within a group, and status is asked when wanted.

Change: grspread (versioned items, pushes, digests), grcontrol (members, searchers, presets, watchers), grshare (divisors by mutual count), grclaim (ledgers by conditional update, group commit, releases with a fence), grdrain, and their wiring over net/rpc.

--- a/coordination/grchange/change.go
+++ b/coordination/grchange/change.go
@@ -42,7 +42,7 @@
 	Kind    StepKind
 	Pause   grclock.Millis
 	Version grid.Revision
-	Next    T
+	Next    T // to write; at the end of an applied change the object with it
 	End     End
 	Fault   *grfault.Fault
 }
@@ -79,6 +79,7 @@
 	pause    grclock.Millis
 	wrote    bool // a write may have applied or may yet apply
 	version  grid.Revision
+	next     T // as last written
 }
 
 // Start returns the first step.
@@ -89,7 +90,7 @@
 	verdict := c.Apply(current, version)
 	switch {
 	case verdict.Settled:
-		return Step[T]{Kind: Finish, End: Applied, Version: version}
+		return Step[T]{Kind: Finish, End: Applied, Version: version, Next: current}
 	case verdict.Fault != nil && c.wrote && version == c.version:
 		return c.again(now) // the write may still arrive
 	case verdict.Fault != nil:
@@ -97,7 +98,7 @@
 	case now >= c.Deadline:
 		return c.late()
 	}
-	c.version = version
+	c.version, c.next = version, verdict.Next
 	return Step[T]{Kind: Write, Version: version, Next: verdict.Next}
 }
 
@@ -108,7 +109,7 @@
 func (c *Change[T]) Wrote(now grclock.Millis, end WriteEnd, version grid.Revision) Step[T] {
 	switch end {
 	case Done:
-		return Step[T]{Kind: Finish, End: Applied, Version: version}
+		return Step[T]{Kind: Finish, End: Applied, Version: version, Next: c.next}
 	case Lost:
 		c.wrote = true
 	}
--- /dev/null
+++ b/coordination/grcontrol/searcher.go
@@ -0,0 +1,89 @@
+package grcontrol
+
+import (
+	"slices"
+	"strings"
+
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+)
+
+// ListedSearcher is a searcher in the platform's list.
+type ListedSearcher struct {
+	Searcher
+	State State // Live or Leaving
+}
+
+// missesUntilGone is the number of lists in a row that a searcher must be
+// missing from before it counts as gone.
+const missesUntilGone = 2
+
+// TakeSearchers takes the platform's list of searchers. The list lags, so a
+// leaving searcher does not become live again within one run.
+func (c *Control) TakeSearchers(now grclock.Millis, list []ListedSearcher, out *Out) {
+	c.with(out, func() {
+		present := make(map[grid.SearcherID]bool, len(list))
+		for i := range list {
+			present[list[i].ID] = true
+			c.listed[list[i].ID] = 0
+			c.takeSearcher(now, &list[i])
+		}
+		for id, misses := range c.listed {
+			if present[id] {
+				continue
+			}
+			c.listed[id] = misses + 1
+			if misses+1 >= missesUntilGone {
+				delete(c.listed, id)
+				c.raiseSearcher(now, id, Gone)
+			}
+		}
+	})
+}
+
+func (c *Control) takeSearcher(now grclock.Millis, s *ListedSearcher) {
+	key := searcherKey(s.ID)
+	value := Value{Kind: SearcherKind, Searcher: s.Searcher}
+	held, ok := c.items.Get(key)
+	if !ok || runOf(held.Version) < s.Run {
+		c.put(now, key, versionOf(s.Run, 0, s.State), value)
+		return
+	}
+	if runOf(held.Version) == s.Run && StateOf(held.Version) == Gone {
+		c.put(now, key, after(held.Version, s.State), value)
+		return
+	}
+	if runOf(held.Version) == s.Run {
+		c.raiseSearcher(now, s.ID, s.State)
+	}
+}
+
+// MarkLeaving notes that a searcher said of itself that it is leaving.
+func (c *Control) MarkLeaving(now grclock.Millis, id grid.SearcherID, run grid.Incarnation, out *Out) {
+	c.with(out, func() {
+		if held, ok := c.items.Get(searcherKey(id)); ok && runOf(held.Version) == run {
+			c.raiseSearcher(now, id, Leaving)
+		}
+	})
+}
+
+// raiseSearcher moves a searcher on to a later state of its run.
+func (c *Control) raiseSearcher(now grclock.Millis, id grid.SearcherID, state State) {
+	held, ok := c.items.Get(searcherKey(id))
+	if ok && StateOf(held.Version) < state {
+		c.put(now, held.Key, after(held.Version, state), held.Value)
+	}
+}
+
+// Searchers returns the searchers that are not gone with their states, ordered
+// by id.
+func (c *Control) Searchers() []ListedSearcher {
+	var list []ListedSearcher
+	c.items.All(func(item Item) {
+		if item.Value.Kind == SearcherKind && StateOf(item.Version) != Gone {
+			list = append(list, ListedSearcher{item.Value.Searcher, StateOf(item.Version)})
+		}
+	})
+	slices.SortFunc(list, func(a, b ListedSearcher) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -47,6 +47,27 @@
 // included.
 func (l *Leaf) Conns(searcher int32) int { return l.replicas[searcher].conns.total }
 
+// WithinShares reports whether no searcher holds more connections than its
+// share.
+func (l *Leaf) WithinShares() bool {
+	for i := range l.replicas {
+		if r := &l.replicas[i]; r.present && r.conns.total > r.Share {
+			return false
+		}
+	}
+	return true
+}
+
+// Connected reports whether a connection to some searcher stands.
+func (l *Leaf) Connected() bool {
+	for i := range l.replicas {
+		if c := &l.replicas[i].conns; c.total > c.opening {
+			return true
+		}
+	}
+	return false
+}
+
 // Draw takes the idle connection that was unused for longest, for a check by
 // the daemon; ReturnConn gives it back. ok is false when none is idle.
 func (l *Leaf) Draw(searcher int32) (conn ConnID, ok bool) {
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -67,6 +67,9 @@
 	return list
 }
 
+// SearcherAt returns the searcher with the index that actions carry.
+func (l *Leaf) SearcherAt(index int32) Searcher { return l.replicas[index].Searcher }
+
 func (l *Leaf) replicaFor(now grclock.Millis, s Searcher) *replica {
 	for i := range l.replicas {
 		if l.replicas[i].ID == s.ID {
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -230,6 +230,27 @@
 // InFlight returns the number of queries that have not ended.
 func (r *Router) InFlight() int { return len(r.queries) }
 
+// WithinShares reports whether no searcher holds more connections than its
+// share.
+func (r *Router) WithinShares() bool {
+	for _, leaf := range r.leaves {
+		if !leaf.WithinShares() {
+			return false
+		}
+	}
+	return true
+}
+
+// Connected reports whether a connection to some searcher stands.
+func (r *Router) Connected() bool {
+	for _, leaf := range r.leaves {
+		if leaf.Connected() {
+			return true
+		}
+	}
+	return false
+}
+
 // Reply takes the end of an attempt of the service.
 func (r *Router) Reply(now grclock.Millis, leaf int32, reply grleaf.Reply, out *Out) {
 	r.leaves[leaf].Reply(now, reply, &out.leaf)
--- /dev/null
+++ b/protocol/grwire/claim.go
@@ -0,0 +1,71 @@
+package grwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"geraniumrouter/coordination/grclaim"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+)
+
+// LedgerWire is the object that holds the claims of one partition.
+type LedgerWire struct {
+	ExpiredBefore int64                `json:"expired_before_ms"`
+	Fences        uint64               `json:"fences"`
+	Entries       map[string]EntryOnce `json:"entries"`
+}
+
+// EntryOnce is the claim on one request id.
+type EntryOnce struct {
+	Token string `json:"token"`
+	State uint8  `json:"state"`
+	Text  string `json:"text,omitempty"`
+}
+
+// LedgerKey returns the key of the ledger of a partition.
+func LedgerKey(partition int) string { return fmt.Sprintf("%s%02d", ClaimsPrefix, partition) }
+
+// DecodeLedger reads a ledger; no data stands for an empty one.
+func DecodeLedger(data []byte) (grclaim.Ledger, error) {
+	l := grclaim.Ledger{Entries: make(map[grid.RequestID]grclaim.Entry)}
+	if len(data) == 0 {
+		return l, nil
+	}
+	var w LedgerWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return l, err
+	}
+	l.ExpiredBefore, l.Fences = grclock.Millis(w.ExpiredBefore), w.Fences
+	for id, e := range w.Entries {
+		l.Entries[grid.RequestID(id)] = grclaim.Entry{Token: grclaim.Token(e.Token), State: grclaim.State(e.State), Text: e.Text}
+	}
+	return l, nil
+}
+
+// EncodeLedger is the inverse of DecodeLedger.
+func EncodeLedger(l grclaim.Ledger) []byte {
+	w := LedgerWire{ExpiredBefore: int64(l.ExpiredBefore), Fences: l.Fences, Entries: make(map[string]EntryOnce, len(l.Entries))}
+	for id, e := range l.Entries {
+		w.Entries[string(id)] = EntryOnce{Token: string(e.Token), State: uint8(e.State), Text: e.Text}
+	}
+	return Encode(w)
+}
+
+// MembersWire is the object in which entry instances register.
+type MembersWire struct {
+	Members []MemberWire `json:"members"`
+}
+
+// DecodeMembers reads the registered members; no data stands for none.
+func DecodeMembers(data []byte) (MembersWire, error) {
+	var w MembersWire
+	if len(data) == 0 {
+		return w, nil
+	}
+	err := json.Unmarshal(data, &w)
+	return w, err
+}
+
+// EncodeMembers is the inverse of DecodeMembers.
+func EncodeMembers(w MembersWire) []byte { return Encode(w) }
--- /dev/null
+++ b/protocol/grwire/peer.go
@@ -0,0 +1,217 @@
+package grwire
+
+import (
+	"geraniumrouter/coordination/grcontrol"
+	"geraniumrouter/coordination/grshare"
+	"geraniumrouter/coordination/grspread"
+	"geraniumrouter/state/grid"
+)
+
+// PeerMessage is what entry instances send each other over net/rpc. It is
+// encoded by encoding/gob, which leaves out empty fields.
+type PeerMessage struct {
+	From  RunWire
+	Load  int
+	Body  SpreadWire
+	Group *SpreadWire // how the sender's group divides connection limits
+	Empty bool        // an answer that says nothing
+}
+
+// SpreadWire is about one map of items.
+type SpreadWire struct {
+	Digest  uint64
+	Buckets []uint64
+	Parts   []uint8
+	Listed  []ListedWire
+	Want    []string
+	Items   []ItemWire
+}
+
+// RunWire is one run of an instance.
+type RunWire struct {
+	ID  string `json:"id"`
+	Run uint64 `json:"run"`
+}
+
+// ListedWire is a key with its version.
+type ListedWire struct {
+	Key     string
+	Version uint64
+}
+
+// ItemWire is an item; the field that its kind names is set.
+type ItemWire struct {
+	Key      string
+	Version  uint64
+	Kind     uint8
+	Member   *MemberWire
+	Searcher *SearcherWire
+	Holding  *HoldingWire
+	Active   *ActiveWire
+	Map      *MapWire
+}
+
+// MemberWire describes an entry instance.
+type MemberWire struct {
+	RunWire
+	Peers   string `json:"peers"`
+	Callers string `json:"callers"`
+	Domain  string `json:"failure_domain"`
+}
+
+// SearcherWire describes a searcher.
+type SearcherWire struct {
+	ID                       string
+	Run                      uint64
+	Service, Address, Domain string
+	Slots, ConnLimit         int
+}
+
+// HoldingWire tells how an instance divides connection limits.
+type HoldingWire struct {
+	Holder  RunWire
+	Divisor int
+	Counted []RunWire
+}
+
+// PeerMessageTo maps a message to the wire.
+func PeerMessageTo(m *grcontrol.Message) PeerMessage {
+	w := PeerMessage{From: runTo(m.From), Load: m.Load, Body: spreadTo(&m.Body)}
+	if m.Group != nil {
+		group := spreadTo(m.Group)
+		w.Group = &group
+	}
+	return w
+}
+
+// PeerMessageFrom maps a message from the wire. Items that cannot be read are
+// left out; the next digest shows that they are missing.
+func PeerMessageFrom(w *PeerMessage) grcontrol.Message {
+	m := grcontrol.Message{From: runFrom(w.From), Load: w.Load, Body: spreadFrom(&w.Body)}
+	if w.Group != nil {
+		group := spreadFrom(w.Group)
+		m.Group = &group
+	}
+	return m
+}
+
+func spreadTo(m *grspread.Message[grcontrol.Value]) SpreadWire {
+	w := SpreadWire{Digest: uint64(m.Digest), Parts: m.Parts}
+	for _, d := range m.Buckets {
+		w.Buckets = append(w.Buckets, uint64(d))
+	}
+	for _, l := range m.Listed {
+		w.Listed = append(w.Listed, ListedWire{string(l.Key), uint64(l.Version)})
+	}
+	for _, k := range m.Want {
+		w.Want = append(w.Want, string(k))
+	}
+	for i := range m.Items {
+		w.Items = append(w.Items, itemTo(&m.Items[i]))
+	}
+	return w
+}
+
+func spreadFrom(w *SpreadWire) grspread.Message[grcontrol.Value] {
+	m := grspread.Message[grcontrol.Value]{Digest: grspread.Digest(w.Digest), Parts: w.Parts}
+	for _, d := range w.Buckets {
+		m.Buckets = append(m.Buckets, grspread.Digest(d))
+	}
+	for _, l := range w.Listed {
+		m.Listed = append(m.Listed, grspread.Listed{Key: grspread.Key(l.Key), Version: grspread.Version(l.Version)})
+	}
+	for _, k := range w.Want {
+		m.Want = append(m.Want, grspread.Key(k))
+	}
+	for i := range w.Items {
+		if item, ok := itemFrom(&w.Items[i]); ok {
+			m.Items = append(m.Items, item)
+		}
+	}
+	return m
+}
+
+func runTo(m grshare.Member) RunWire { return RunWire{string(m.ID), uint64(m.Run)} }
+
+func runFrom(w RunWire) grshare.Member {
+	return grshare.Member{ID: grid.InstanceID(w.ID), Run: grid.Incarnation(w.Run)}
+}
+
+func itemTo(item *grcontrol.Item) ItemWire {
+	v := &item.Value
+	w := ItemWire{Key: string(item.Key), Version: uint64(item.Version), Kind: uint8(v.Kind)}
+	switch v.Kind {
+	case grcontrol.MemberKind:
+		member := MemberTo(&v.Member)
+		w.Member = &member
+	case grcontrol.SearcherKind:
+		s := &v.Searcher
+		w.Searcher = &SearcherWire{
+			ID: string(s.ID), Run: uint64(s.Run), Service: string(s.Service), Address: string(s.Address),
+			Domain: string(s.Domain), Slots: s.Slots, ConnLimit: s.ConnLimit,
+		}
+	case grcontrol.HoldingKind:
+		w.Holding = &HoldingWire{Holder: runTo(v.Holder), Divisor: v.Holding.Divisor}
+		for _, m := range v.Holding.Counted {
+			w.Holding.Counted = append(w.Holding.Counted, runTo(m))
+		}
+	case grcontrol.PresetKind:
+		active := ActiveTo(v.Active)
+		w.Active = &active
+	case grcontrol.MapKind:
+		m := MapTo(v.Map)
+		w.Map = &m
+	}
+	return w
+}
+
+func itemFrom(w *ItemWire) (item grcontrol.Item, ok bool) {
+	v := &item.Value
+	item.Key, item.Version, v.Kind = grspread.Key(w.Key), grspread.Version(w.Version), grcontrol.Kind(w.Kind)
+	switch {
+	case v.Kind == grcontrol.MemberKind && w.Member != nil:
+		v.Member = MemberFrom(w.Member)
+	case v.Kind == grcontrol.SearcherKind && w.Searcher != nil:
+		v.Searcher = searcherFrom(w.Searcher)
+	case v.Kind == grcontrol.HoldingKind && w.Holding != nil:
+		v.Holder, v.Holding.Divisor = runFrom(w.Holding.Holder), w.Holding.Divisor
+		for _, m := range w.Holding.Counted {
+			v.Holding.Counted = append(v.Holding.Counted, runFrom(m))
+		}
+	case v.Kind == grcontrol.PresetKind && w.Active != nil:
+		active, err := ActiveFrom(w.Active)
+		if err != nil {
+			return item, false
+		}
+		v.Active = &active
+	case v.Kind == grcontrol.MapKind && w.Map != nil:
+		m, err := MapFrom(w.Map)
+		if err != nil {
+			return item, false
+		}
+		v.Map = m
+	default:
+		return item, false
+	}
+	return item, true
+}
+
+// MemberTo maps an entry instance to the wire.
+func MemberTo(m *grcontrol.Member) MemberWire {
+	return MemberWire{runTo(m.Member), string(m.Peers), string(m.Callers), string(m.Domain)}
+}
+
+// MemberFrom maps an entry instance from the wire.
+func MemberFrom(w *MemberWire) grcontrol.Member {
+	return grcontrol.Member{
+		Member: runFrom(w.RunWire), Peers: grid.Address(w.Peers), Callers: grid.Address(w.Callers),
+		Domain: grid.FailureDomain(w.Domain),
+	}
+}
+
+func searcherFrom(w *SearcherWire) grcontrol.Searcher {
+	return grcontrol.Searcher{
+		ID: grid.SearcherID(w.ID), Run: grid.Incarnation(w.Run), Service: grid.Service(w.Service),
+		Address: grid.Address(w.Address), Domain: grid.FailureDomain(w.Domain), Slots: w.Slots, ConnLimit: w.ConnLimit,
+	}
+}
--- a/transport/grnode/callers.go
+++ b/transport/grnode/callers.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 
+	"geraniumrouter/coordination/grcontrol"
+	"geraniumrouter/coordination/grdrain"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grfault"
 	"geraniumrouter/state/grid"
-	"geraniumrouter/state/grsnapshot"
 )
 
 // callerDesk answers callers.
@@ -16,45 +17,47 @@
 
 // Query answers a query.
 func (d callerDesk) Query(ctx context.Context, asked grwire.QueryRequest) grwire.Answer {
-	a := ask{
-		ctx:        ctx,
-		collection: grid.Collection(asked.Collection),
-		text:       asked.Text,
-		deadline:   d.node.Clock.Now() + grclock.Millis(asked.DeadlineMS),
+	d.node.inFlight.Add(1)
+	defer d.node.inFlight.Add(-1)
+	if answer, leaving := d.refusal(); leaving {
+		return answer
 	}
-	result := d.node.ask(queryEvent, a)
-	return grwire.AnswerFor(&result)
-}
-
-// Request runs a request that is not idempotent.
-func (d callerDesk) Request(ctx context.Context, asked grwire.OnceRequest) grwire.Answer {
 	a := ask{
 		ctx:        ctx,
 		collection: grid.Collection(asked.Collection),
-		key:        grsnapshot.Key(asked.Key),
 		text:       asked.Text,
-		requestID:  grid.RequestID(asked.RequestID),
 		deadline:   d.node.Clock.Now() + grclock.Millis(asked.DeadlineMS),
 	}
-	result := d.node.ask(requestEvent, a)
+	result := d.node.ask(queryEvent, a)
 	return grwire.AnswerFor(&result)
 }
 
 // Entries lists the entry instances that callers may use.
 func (d callerDesk) Entries(domain grid.FailureDomain, seed uint64) grwire.EntriesReply {
-	return grwire.EntriesReply{TTLMS: int64(d.node.Settings.EntryTTL)}
+	reply := grwire.EntriesReply{TTLMS: int64(d.node.Settings.EntryTTL), Entries: []grwire.EntryWire{}}
+	d.node.control.inspect(func(c *grcontrol.Control) {
+		for _, m := range c.Entries(domain, seed) {
+			reply.Entries = append(reply.Entries, grwire.EntryWire{
+				Instance: string(m.ID), Address: string(m.Callers), Domain: string(m.Domain),
+			})
+		}
+	})
+	return reply
 }
 
 // Ready returns why the instance cannot serve, or nil.
 func (d callerDesk) Ready() *grfault.Fault {
+	if phase := d.node.control.currentPhase(); phase >= grdrain.Leaving {
+		return grfault.New(grfault.Leaving, "instance %s is %s", d.node.Settings.Instance, phase)
+	}
 	var fault *grfault.Fault
 	d.node.inspect(func(r *grrouter.Router) {
 		if _, ok := r.Preset(); !ok {
 			fault = grfault.New(grfault.NotReady, "no preset is known")
 			return
 		}
-		if r.Services() == 0 {
-			fault = grfault.New(grfault.NotReady, "no searcher is known")
+		if !r.Connected() {
+			fault = grfault.New(grfault.NotReady, "no searcher is known or no connection stands")
 		}
 	})
 	return fault
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -4,73 +4,168 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
+	"geraniumrouter/coordination/grcontrol"
+	"geraniumrouter/coordination/grdrain"
 	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/coordination/grshare"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grring"
+	"geraniumrouter/transport/grpeer"
 )
 
-// control is the duty that follows the platform and the other instances, and
-// tells the router what is in force.
+// control is the duty that owns what the instance knows of the others, of the
+// searchers and of the preset. Nothing else touches its state machines.
 type control struct {
 	node     *Node
 	events   *grring.Ring[controlEvent]
-	register grpreset.Register
-	list     []grwire.InstanceWire
+	state    *grcontrol.Control
+	out      grcontrol.Out
+	drain    grdrain.Drain
+	phase    atomic.Int32
+	phaseAt  grclock.Millis // start of the phase
+	watching atomic.Bool
 	sent     map[grid.Service]string // last list of searchers given to the router
+	watched  map[grid.Address]bool   // control connections that are open
+	states   map[grid.InstanceID]grcontrol.State
+	lowering int // divisor that the router was asked to come down to
+	released bool
 }
 
-// controlEvent is what the control duty is told.
+// controlEvent is what the control duty is told; one field is set.
 type controlEvent struct {
 	objects   []grwire.ObjectWire
+	listed    bool // objects hold everything
 	instances []grwire.InstanceWire
 	active    *grpreset.Active
+	message   *messageEvent
+	link      *grpeer.Event
+	members   []grcontrol.Member
+	leaving   *leavingEvent
+	lowered   int
+	drain     bool
+	inspect   func(c *grcontrol.Control)
+}
+
+type messageEvent struct {
+	got    grwire.PeerMessage
+	answer chan grwire.PeerMessage // holds one
+}
+
+// leavingEvent says that a searcher said of itself that it is leaving.
+type leavingEvent struct {
+	id  grid.SearcherID
+	run grid.Incarnation
 }
 
 // Intervals and sizes of the control duty.
 const (
 	controlRing      = 4096
 	instanceInterval = 500 * grclock.Millisecond
-	watchPause       = 200 * grclock.Millisecond
+	idleInterval     = 200 * grclock.Millisecond
+	controlTick      = 100 * grclock.Millisecond
 )
 
 func (c *control) init() {
+	n := c.node
 	c.events = grring.New[controlEvent](controlRing)
 	c.sent = make(map[grid.Service]string)
+	c.watched = make(map[grid.Address]bool)
+	c.states = make(map[grid.InstanceID]grcontrol.State)
+	c.drain.TTL = n.Settings.EntryTTL
+	c.watching.Store(true)
+	c.state = &grcontrol.Control{
+		Self: grcontrol.Member{
+			Member:  grshare.Member{ID: n.Settings.Instance, Run: n.run},
+			Peers:   n.Settings.Peers,
+			Callers: n.Settings.Callers,
+			Domain:  n.Settings.FailureDomain,
+		},
+		Seeds:  n.Settings.Seeds,
+		Random: grid.Random{State: uint64(n.run)},
+		Push:   true,
+	}
 }
 
 func (c *control) run(ctx context.Context) error {
+	clock := c.node.Clock
+	c.state.Init(clock.Now(), &c.out)
+	c.carryOut()
+	alarm := clock.NewAlarm(0)
+	defer alarm.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-c.events.Out():
-			c.handle(&e)
+			c.handle(clock.Now(), &e)
+		case <-alarm.C:
+			c.tick(clock.Now())
+			alarm.Reset(controlTick)
 		}
 	}
 }
 
 func (c *control) post(e controlEvent) { c.events.Put(c.node.group.Context().Done(), e) }
 
-func (c *control) handle(e *controlEvent) {
-	for i := range e.objects {
-		c.takeObject(&e.objects[i])
+// inspect runs a function on the control duty and waits for its end.
+func (c *control) inspect(look func(s *grcontrol.Control)) {
+	done := make(chan struct{})
+	c.post(controlEvent{inspect: func(s *grcontrol.Control) {
+		look(s)
+		close(done)
+	}})
+	select {
+	case <-done:
+	case <-c.node.group.Context().Done():
 	}
-	if e.active != nil {
-		c.adopt(*e.active)
+}
+
+func (c *control) tick(now grclock.Millis) {
+	inFlight := int(c.node.inFlight.Load())
+	c.state.Load = inFlight
+	c.state.Tick(now, &c.out)
+	c.stepDrain(now, inFlight)
+	c.watching.Store(c.state.Watches())
+	c.carryOut()
+}
+
+func (c *control) handle(now grclock.Millis, e *controlEvent) {
+	for i := range e.objects {
+		c.takeObject(now, &e.objects[i])
 	}
-	if e.instances != nil {
-		c.list = e.instances
-		c.refreshServices()
+	switch {
+	case e.listed:
+		c.state.PlatformRead(&c.out)
+	case e.instances != nil:
+		c.state.TakeSearchers(now, searchersOf(e.instances), &c.out)
+	case e.active != nil:
+		c.state.Adopt(now, e.active, &c.out)
+	case e.message != nil:
+		c.takeMessage(now, e.message)
+	case e.link != nil:
+		c.takeLink(now, e.link)
+	case e.members != nil:
+		c.state.Registered(now, e.members, &c.out)
+	case e.leaving != nil:
+		c.state.MarkLeaving(now, e.leaving.id, e.leaving.run, &c.out)
+	case e.lowered > 0:
+		c.state.Lowered(now, e.lowered, &c.out)
+	case e.drain:
+		c.startDrain(now)
+	case e.inspect != nil:
+		e.inspect(c.state)
 	}
+	c.carryOut()
 }
 
-func (c *control) takeObject(o *grwire.ObjectWire) {
+func (c *control) takeObject(now grclock.Millis, o *grwire.ObjectWire) {
 	switch {
 	case strings.HasPrefix(o.Key, grwire.MapPrefix):
 		var w grwire.MapWire
@@ -78,93 +173,150 @@
 			return
 		}
 		if m, err := grwire.MapFrom(&w); err == nil {
-			c.node.post(event{kind: mapEvent, shardMap: m})
+			c.state.TakeMap(now, m, grid.Revision(o.Version), &c.out)
 		}
 	case o.Key == grwire.ActiveKey:
 		if p, err := grwire.DecodePointer(o.Value); err == nil && p.Active != nil {
-			c.adopt(*p.Active)
+			c.state.Adopt(now, p.Active, &c.out)
 		}
 	}
 }
 
-func (c *control) adopt(a grpreset.Active) {
-	if !c.register.Adopt(a) {
-		return
+func (c *control) takeMessage(now grclock.Millis, e *messageEvent) {
+	answer, ok := c.state.Receive(now, grwire.PeerMessageFrom(&e.got), &c.out)
+	w := grwire.PeerMessageTo(&answer)
+	w.Empty = !ok
+	e.answer <- w
+}
+
+func (c *control) takeLink(now grclock.Millis, e *grpeer.Event) {
+	switch e.Kind {
+	case grpeer.Refused:
+		c.state.Refused(now, e.To.To, e.To.Run, &c.out)
+	case grpeer.Answered:
+		got := grwire.PeerMessageFrom(&e.Answer)
+		c.state.Answered(now, got.From.ID)
+		if e.Answer.Empty {
+			return
+		}
+		if next, more := c.state.Receive(now, got, &c.out); more {
+			c.node.links.Send(grcontrol.Outgoing{To: e.To.To, Run: got.From.Run, Message: next})
+		}
 	}
-	c.node.Log.Info("preset in force",
-		zap.Uint64("generation", uint64(a.Generation)), zap.String("preset", string(a.Preset.Name)))
-	c.node.post(event{kind: presetEvent, active: a})
-	c.refreshServices()
 }
 
-// refreshServices gives the router the searchers that may get work.
+// carryOut does what the state machine decided.
+func (c *control) carryOut() {
+	for i := range c.out.Messages {
+		c.node.links.Send(c.out.Messages[i])
+	}
+	for _, m := range c.out.Maps {
+		c.node.post(event{kind: mapEvent, shardMap: m})
+	}
+	if a := c.out.Active; a != nil {
+		c.node.Log.Info("preset in force",
+			zap.Uint64("generation", uint64(a.Generation)), zap.String("preset", string(a.Preset.Name)))
+		c.node.tookMS.Store(int64(c.node.Clock.Now() - a.SwitchedAt))
+		c.node.post(event{kind: presetEvent, active: *a})
+	}
+	refresh := c.out.Searchers || c.out.Active != nil
+	c.out.Reset()
+	if refresh {
+		c.refreshServices()
+	}
+	c.logStates()
+}
+
+// logStates writes a line for each member whose state changed.
+func (c *control) logStates() {
+	for _, m := range c.state.Status() {
+		if old, known := c.states[m.ID]; known && old != m.State {
+			c.node.Log.Info("member changed", zap.String("member", string(m.ID)), zap.Stringer("state", m.State))
+		}
+		c.states[m.ID] = m.State
+	}
+}
+
+// refreshServices gives the router the searchers that may get work, with this
+// instance's share of their connections.
 func (c *control) refreshServices() {
-	entries := 0
-	services := make(map[grid.Service][]grwire.InstanceWire)
-	for _, i := range c.list {
-		switch i.Kind {
-		case grwire.KindEntry:
-			entries++
-		case grwire.KindSearcher:
-			services[grid.Service(i.Service)] = append(services[grid.Service(i.Service)], i)
+	resting := make(map[string]bool)
+	if a, ok := c.state.Preset(); ok {
+		for _, s := range a.Preset.InMaintenance {
+			resting["service "+string(s)] = true
+		}
+		for _, s := range a.Preset.SearchersAtRest {
+			resting["searcher "+string(s)] = true
 		}
 	}
-	for name, list := range services {
-		c.refreshService(name, list, max(entries, 1))
-	}
-}
-
-func (c *control) refreshService(name grid.Service, list []grwire.InstanceWire, divisor int) {
-	e := event{kind: serviceEvent, service: name, addresses: make(map[grid.SearcherID]grid.Address)}
-	for _, i := range list {
-		id := grid.SearcherID(i.ID)
-		e.addresses[id] = grid.Address(i.Address)
-		e.searchers = append(e.searchers, grleaf.Searcher{
-			ID:      id,
-			Domain:  grid.FailureDomain(i.Domain),
-			Slots:   i.Slots,
-			Share:   max(i.ConnLimit/divisor-1, 0),
-			Leaving: i.State != grwire.StateLive,
-			Run:     grid.Incarnation(i.Run),
+	services := make(map[grid.Service][]grleaf.Searcher)
+	addresses := make(map[grid.SearcherID]grid.Address)
+	for _, s := range c.state.Searchers() {
+		leaving := s.State != grcontrol.Live || resting["service "+string(s.Service)] || resting["searcher "+string(s.ID)]
+		share := c.shareOf(s.ConnLimit)
+		services[s.Service] = append(services[s.Service], grleaf.Searcher{
+			ID: s.ID, Domain: s.Domain, Slots: s.Slots, Share: max(share-1, 0), Leaving: leaving, Run: s.Run,
 		})
+		addresses[s.ID] = s.Address
+		c.watchSearcher(s.Searcher, share > 1 && s.State != grcontrol.Gone)
+	}
+	for name, list := range services {
+		c.refreshService(name, list, addresses)
 	}
-	key := string(grwire.Encode(e.searchers))
-	if c.sent[name] != key {
-		c.sent[name] = key
-		c.node.post(e)
+	if lowering := c.state.Lowering(); lowering != c.lowering {
+		c.lowering = lowering
+		c.node.post(event{kind: lowerEvent, divisor: lowering})
 	}
 }
 
-// watchObjects follows the objects of the platform; after a failure or a
-// compaction it lists them again.
-func (c *control) watchObjects(ctx context.Context) error {
-	version := uint64(0)
-	for ctx.Err() == nil {
-		var list grwire.ListReply
-		var err error
-		if version == 0 {
-			list, err = c.node.platform.List(ctx, "")
-		} else {
-			list, err = c.node.platform.Watch(ctx, version)
-		}
-		if err != nil {
-			version = 0
-			c.node.Clock.Sleep(ctx, watchPause)
-			continue
-		}
-		version = list.Version
-		c.post(controlEvent{objects: list.Objects})
+// shareOf divides a connection limit. One connection of the share carries
+// cancellations and load reads, the others searches.
+func (c *control) shareOf(limit int) int {
+	if c.released || c.state.Divisor() == 0 {
+		return 0
 	}
-	return nil
+	return limit / c.state.Divisor()
 }
 
-// watchInstances follows the platform's list of instances.
-func (c *control) watchInstances(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if list, err := c.node.platform.Instances(ctx); err == nil {
-			c.post(controlEvent{instances: list.Instances})
+func (c *control) watchSearcher(s grcontrol.Searcher, wanted bool) {
+	if c.watched[s.Address] == wanted {
+		return
+	}
+	c.watched[s.Address] = wanted
+	if wanted {
+		c.node.pool.Watch(s.ID, s.Run, s.Address)
+	} else {
+		c.node.pool.Unwatch(s.Address)
+	}
+}
+
+func (c *control) refreshService(name grid.Service, list []grleaf.Searcher, addresses map[grid.SearcherID]grid.Address) {
+	key := string(grwire.Encode(list))
+	if c.sent[name] == key {
+		return
+	}
+	c.sent[name] = key
+	own := make(map[grid.SearcherID]grid.Address, len(list))
+	for _, s := range list {
+		own[s.ID] = addresses[s.ID]
+	}
+	c.node.post(event{kind: serviceEvent, service: name, searchers: list, addresses: own})
+}
+
+func searchersOf(instances []grwire.InstanceWire) []grcontrol.ListedSearcher {
+	var list []grcontrol.ListedSearcher
+	for _, i := range instances {
+		if i.Kind != grwire.KindSearcher {
+			continue
+		}
+		state := grcontrol.Live
+		if i.State != grwire.StateLive {
+			state = grcontrol.Leaving
 		}
-		c.node.Clock.Sleep(ctx, instanceInterval)
+		list = append(list, grcontrol.ListedSearcher{State: state, Searcher: grcontrol.Searcher{
+			ID: grid.SearcherID(i.ID), Run: grid.Incarnation(i.Run), Service: grid.Service(i.Service),
+			Address: grid.Address(i.Address), Domain: grid.FailureDomain(i.Domain), Slots: i.Slots, ConnLimit: i.ConnLimit,
+		}})
 	}
-	return nil
+	return list
 }
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -24,6 +24,7 @@
 	mapEvent
 	serviceEvent
 	presetEvent
+	lowerEvent
 	inspectEvent
 )
 
@@ -37,6 +38,7 @@
 	searchers []grleaf.Searcher
 	addresses map[grid.SearcherID]grid.Address
 	active    grpreset.Active
+	divisor   int // that connections must come down to, for lowerEvent
 	inspect   func(r *grrouter.Router)
 }
 
@@ -59,6 +61,7 @@
 	addresses map[grid.SearcherID]grid.Address
 	out       grrouter.Out
 	unsent    []unsent
+	lowering  int // divisor that the control duty waits for, or 0
 	checkAt   grclock.Millis
 	counts    counts
 }
@@ -123,10 +126,22 @@
 		l.setService(now, e)
 	case presetEvent:
 		l.router.SetPreset(e.active)
+	case lowerEvent:
+		l.lowering = e.divisor
 	case inspectEvent:
 		e.inspect(l.router)
 	}
 	l.carryOut(now)
+	l.reportLowered()
+}
+
+// reportLowered tells the control duty when no more connections are held than
+// the lowered share allows.
+func (l *loop) reportLowered() {
+	if l.lowering > 0 && l.router.WithinShares() {
+		l.node.control.post(controlEvent{lowered: l.lowering})
+		l.lowering = 0
+	}
 }
 
 func (l *loop) setService(now grclock.Millis, e *event) {
@@ -144,6 +159,10 @@
 	case grupstream.NotOpen:
 		l.router.ConnFailed(now, p.Leaf, p.Searcher, &l.out)
 	case grupstream.Replied:
+		if e.Reply.Kind == grleaf.Draining {
+			s := l.router.Leaf(p.Leaf).SearcherAt(p.Searcher)
+			l.node.control.post(controlEvent{leaving: &leavingEvent{s.ID, s.Run}})
+		}
 		l.router.Reply(now, p.Leaf, e.Reply, &l.out)
 	case grupstream.Checked:
 		l.router.ReturnConn(now, p.Leaf, p.Searcher, p.Conn, e.Healthy, &l.out)
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -8,18 +8,22 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
 	"geraniumrouter/state/grsettings"
 	"geraniumrouter/transport/grgroup"
 	"geraniumrouter/transport/grhttp"
+	"geraniumrouter/transport/grpeer"
 	"geraniumrouter/transport/grplatform"
 	"geraniumrouter/transport/grupstream"
 )
@@ -36,9 +40,16 @@
 	platform *grplatform.Client
 	pool     *grupstream.Pool
 	events   *grring.Ring[event]
+	links    *grpeer.Links
 	loop     loop
 	control  control
+	claims   claims
 	run      grid.Incarnation
+
+	inFlight   atomic.Int64 // queries and requests being answered
+	tokens     atomic.Uint64
+	tookMS     atomic.Int64 // from the acceptance of the preset until in force here
+	platformUp atomic.Bool
 }
 
 // eventRing is the number of events that wait for the router's duty.
@@ -47,10 +58,18 @@
 // Run serves until ctx ends or a duty fails.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare(ctx)
+	listener, err := net.Listen("tcp", string(n.Settings.Peers))
+	if err != nil {
+		return err
+	}
+	peers := &grpeer.Service{OnMessage: n.onMessage, OnStatus: n.ownStatus}
+	n.group.Start(func(ctx context.Context) error { return peers.Serve(ctx, listener) })
 	n.group.Start(n.loop.run)
 	n.group.Start(n.control.run)
 	n.group.Start(n.control.watchObjects)
 	n.group.Start(n.control.watchInstances)
+	n.group.Start(n.control.register)
+	n.group.Start(n.claims.run)
 	callers := &grhttp.Server{Address: n.Settings.Callers, Handler: grhttp.Callers(callerDesk{n})}
 	operators := &grhttp.Server{
 		Address: n.Settings.Operators,
@@ -63,16 +82,6 @@
 	return n.group.Wait()
 }
 
-// awaitTermination ends the instance when it is asked to.
-func (n *Node) awaitTermination(ctx context.Context) error {
-	select {
-	case <-n.Terminate:
-		n.group.Stop()
-	case <-ctx.Done():
-	}
-	return nil
-}
-
 func (n *Node) prepare(ctx context.Context) {
 	if n.Metrics == nil {
 		n.Metrics = metrics.NewRegistry()
@@ -88,13 +97,61 @@
 		Clock:  n.Clock,
 		Silent: router.Policy.SilentLimit,
 		Caller: fmt.Sprintf("%s/%d", n.Settings.Instance, n.run),
-		Report: func(e grupstream.Event) { n.post(event{kind: upstreamEvent, upstream: e}) },
+		Report: n.onUpstream,
 	}
+	n.links = &grpeer.Links{
+		Group:  n.group,
+		Clock:  n.Clock,
+		Report: func(e grpeer.Event) { n.control.post(controlEvent{link: &e}) },
+	}
+	n.claims.node = n
+	n.claims.init()
 	n.loop = loop{node: n, router: router}
 	n.loop.init()
-	n.control = control{node: n}
+	n.control.node = n
 	n.control.init()
 }
 
 // post hands an event to the router's duty.
 func (n *Node) post(e event) { n.events.Put(n.group.Context().Done(), e) }
+
+// onUpstream hands an event of a connection to the duty that it concerns.
+func (n *Node) onUpstream(e grupstream.Event) {
+	if e.Kind != grupstream.LoadRead {
+		n.post(event{kind: upstreamEvent, upstream: e})
+		return
+	}
+	if e.Load.Leaving {
+		n.control.post(controlEvent{leaving: &leavingEvent{e.Searcher, e.Run}})
+	}
+}
+
+// onMessage hands a message of a peer to the control duty and waits for the
+// answer.
+func (n *Node) onMessage(got grwire.PeerMessage) grwire.PeerMessage {
+	answer := make(chan grwire.PeerMessage, 1)
+	n.control.post(controlEvent{message: &messageEvent{got, answer}})
+	select {
+	case a := <-answer:
+		return a
+	case <-n.group.Context().Done():
+		return grwire.PeerMessage{Empty: true}
+	}
+}
+
+// ownStatus describes this instance to others.
+func (n *Node) ownStatus() grwire.InstanceStatus {
+	s := grwire.InstanceStatus{
+		Instance:  string(n.Settings.Instance),
+		Domain:    string(n.Settings.FailureDomain),
+		State:     n.control.currentPhase().String(),
+		TookMS:    n.tookMS.Load(),
+		Reachable: true,
+	}
+	n.inspect(func(r *grrouter.Router) {
+		if a, ok := r.Preset(); ok {
+			s.Generation = uint64(a.Generation)
+		}
+	})
+	return s
+}
--- a/transport/grnode/operators.go
+++ b/transport/grnode/operators.go
@@ -4,9 +4,8 @@
 	"context"
 	"strings"
 
-	"go.uber.org/zap"
-
 	"geraniumrouter/coordination/grchange"
+	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
@@ -127,22 +126,44 @@
 }
 
 // PresetStatus tells which generation is in force where.
-func (d operatorDesk) PresetStatus(context.Context) grwire.PresetStatus {
-	var status grwire.PresetStatus
-	d.node.inspect(func(r *grrouter.Router) {
-		if a, ok := r.Preset(); ok {
-			status.Generation = uint64(a.Generation)
+func (d operatorDesk) PresetStatus(ctx context.Context) grwire.PresetStatus {
+	own := d.node.ownStatus()
+	status := grwire.PresetStatus{Generation: own.Generation, Instances: []grwire.InstanceStatus{own}}
+	for _, m := range d.node.members() {
+		if m.ID == d.node.Settings.Instance {
+			continue
 		}
-	})
+		s, err := d.node.links.Status(ctx, m.Peers)
+		if err != nil {
+			s = grwire.InstanceStatus{Instance: string(m.ID), Domain: string(m.Domain), State: m.State.String()}
+		}
+		status.Generation = max(status.Generation, s.Generation)
+		status.Instances = append(status.Instances, s)
+	}
 	return status
 }
 
+// members returns what is known of the entry instances.
+func (n *Node) members() []grcontrol.MemberStatus {
+	var list []grcontrol.MemberStatus
+	n.control.inspect(func(c *grcontrol.Control) { list = c.Status() })
+	return list
+}
+
 // Status describes the instance.
 func (d operatorDesk) Status() grwire.StatusReply {
 	status := grwire.StatusReply{
 		Instance: string(d.node.Settings.Instance),
 		Domain:   string(d.node.Settings.FailureDomain),
-		Phase:    "serving",
+		Phase:    d.node.control.currentPhase().String(),
+	}
+	status.PlatformUp = d.node.platformUp.Load()
+	for _, m := range d.node.members() {
+		if m.ID != d.node.Settings.Instance {
+			status.Peers = append(status.Peers, grwire.InstanceStatus{
+				Instance: string(m.ID), Domain: string(m.Domain), State: m.State.String(),
+			})
+		}
 	}
 	d.node.inspect(func(r *grrouter.Router) { describe(r, &status) })
 	return status
@@ -150,7 +171,7 @@
 
 // Drain starts a graceful shutdown.
 func (d operatorDesk) Drain() grwire.StatusReply {
-	d.node.Log.Info("drain asked for", zap.String("instance", string(d.node.Settings.Instance)))
+	d.node.control.post(controlEvent{drain: true})
 	return d.Status()
 }
 
--- a/transport/grupstream/control.go
+++ b/transport/grupstream/control.go
@@ -17,7 +17,8 @@
 // reads, so that neither waits behind a search.
 type control struct {
 	pool    *Pool
-	place   Place
+	id      grid.SearcherID
+	run     grid.Incarnation
 	address grid.Address
 	cancels *grring.Ring[grid.AttemptID]
 	stop    context.CancelFunc
@@ -25,7 +26,7 @@
 
 // Watch opens the control connection to a searcher, if there is none, and
 // reports LoadRead from time to time.
-func (p *Pool) Watch(place Place, address grid.Address) {
+func (p *Pool) Watch(id grid.SearcherID, run grid.Incarnation, address grid.Address) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.controls == nil {
@@ -35,9 +36,9 @@
 		return
 	}
 	ctx, stop := context.WithCancel(p.Group.Context())
-	c := &control{pool: p, place: place, address: address, cancels: grring.New[grid.AttemptID](controlRing), stop: stop}
+	c := &control{pool: p, id: id, run: run, address: address, cancels: grring.New[grid.AttemptID](controlRing), stop: stop}
 	p.controls[address] = c
-	p.Group.Start(func(context.Context) error { return c.run(ctx) })
+	p.Group.Start(func(context.Context) error { return c.keep(ctx) })
 }
 
 // Unwatch closes the control connection to a searcher.
@@ -61,7 +62,7 @@
 	}
 }
 
-func (c *control) run(ctx context.Context) error {
+func (c *control) keep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if l, err := dial(ctx, c.address); err == nil {
 			c.serve(ctx, l)
@@ -91,7 +92,7 @@
 			if err != nil {
 				return
 			}
-			c.pool.Report(Event{Kind: LoadRead, Place: c.place, Healthy: true, Load: load})
+			c.pool.Report(Event{Kind: LoadRead, Searcher: c.id, Run: c.run, Healthy: true, Load: load})
 			alarm.Reset(loadInterval)
 		}
 	}
--- a/transport/grupstream/pool.go
+++ b/transport/grupstream/pool.go
@@ -47,11 +47,13 @@
 
 // Event is what happened on a connection.
 type Event struct {
-	Kind    EventKind
-	Place   Place
-	Reply   grleaf.Reply
-	Healthy bool
-	Load    grwire.LoadReply
+	Kind     EventKind
+	Place    Place
+	Reply    grleaf.Reply
+	Healthy  bool
+	Load     grwire.LoadReply
+	Searcher grid.SearcherID  // for LoadRead
+	Run      grid.Incarnation // for LoadRead
 }
 
 // Sending is a sub-request to be sent on a connection.
