See at once that a searcher closed a connection

Ruled out: a larger retry budget, which would multiply load in an overload.

Change: a goroutine reads each connection all the time, and an end while idle is an event of its own.

--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -82,9 +82,11 @@
 	loads      map[grid.InstanceID]int
 	asked      map[grid.InstanceID]grclock.Millis // first heartbeat without an answer
 	holding    grshare.Holding
-	lowered    int // divisor that the connections in use must come down to first
+	unreviewed bool // what decides on the divisor changed
+	lowered    int  // divisor that the connections in use must come down to first
 	registered bool
 	listed     map[grid.SearcherID]int // misses in the platform's list
+	missed     map[grid.InstanceID]missing
 	nextBeat   grclock.Millis
 	order      []Member // members that are not gone, by hash; rebuilt when stale
 	mates      []Member // those of the own group
@@ -102,8 +104,10 @@
 	c.asked = make(map[grid.InstanceID]grclock.Millis)
 	c.loads = make(map[grid.InstanceID]int)
 	c.listed = make(map[grid.SearcherID]int)
+	c.missed = make(map[grid.InstanceID]missing)
 	c.items.Rounds, c.shares.Rounds = pushRounds, pushRounds
 	c.items.Changed = c.changed
+	c.shares.Changed = func(grclock.Millis, Item, Item) { c.unreviewed = true }
 	c.stale = true
 	c.with(out, func() {
 		c.put(now, memberKey(c.Self.ID), versionOf(c.Self.Run, 0, Live), Value{Kind: MemberKind, Member: c.Self})
@@ -199,12 +203,16 @@
 // Registered notes the members that stand in the platform's list of members,
 // this instance among them.
 func (c *Control) Registered(now grclock.Millis, members []Member, out *Out) {
-	c.registered = true
+	c.registered, c.unreviewed = true, true
 	c.with(out, func() {
 		for _, m := range members {
 			if m.ID != c.Self.ID {
 				c.put(now, memberKey(m.ID), versionOf(m.Run, 0, Live), Value{Kind: MemberKind, Member: m})
 			}
+			if c.groupOf(m.ID) == c.groupOf(c.Self.ID) {
+				value := Value{Kind: RegisteredKind, Holder: m.Member}
+				c.shares.Put(now, Item{Key: registeredKey(m.ID), Version: 1, Value: value})
+			}
 		}
 		c.review(now)
 	})
@@ -238,7 +246,7 @@
 	case SearcherKind:
 		c.out.Searchers = true
 	case MemberKind:
-		c.stale = true
+		c.stale, c.unreviewed = true, true
 		c.refute(now, item)
 	}
 }
--- a/coordination/grcontrol/entries.go
+++ b/coordination/grcontrol/entries.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 )
 
@@ -65,13 +66,40 @@
 	return list
 }
 
-// GoneMembers returns the ids of instances that are known to have ended.
-func (c *Control) GoneMembers() []grid.InstanceID {
-	var list []grid.InstanceID
-	c.items.All(func(item Item) {
-		if item.Value.Kind == MemberKind && StateOf(item.Version) == Gone {
-			list = append(list, item.Value.Member.ID)
+// missing tells since when a run of a member is missing from the platform's
+// list.
+type missing struct {
+	run   grid.Incarnation
+	since grclock.Millis
+}
+
+// listLag is how long a member must be missing from the platform's list before
+// it counts as ended: longer than the list lags behind a start.
+const listLag = 10 * grclock.Second
+
+// TakeEntries takes the entry instances in the platform's list. It is the proof
+// that a member has ended whose machine is gone, so that nothing refuses a
+// connection there any more.
+func (c *Control) TakeEntries(now grclock.Millis, ids []grid.InstanceID, out *Out) {
+	present := make(map[grid.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		present[id] = true
+	}
+	c.with(out, func() {
+		for _, m := range slices.Clone(c.Members()) {
+			if present[m.ID] || m.ID == c.Self.ID {
+				delete(c.missed, m.ID)
+				continue
+			}
+			first, known := c.missed[m.ID]
+			if !known || first.run != m.Run {
+				c.missed[m.ID] = missing{m.Run, now}
+				continue
+			}
+			if now-first.since >= listLag {
+				c.setMember(now, m.ID, Gone)
+			}
 		}
+		c.review(now)
 	})
-	return list
 }
--- a/coordination/grcontrol/share.go
+++ b/coordination/grcontrol/share.go
@@ -10,9 +10,10 @@
 
 // review lets the divisor follow what is known of the others.
 func (c *Control) review(now grclock.Millis) {
-	if c.stateOf(c.Self.ID) == Gone {
+	if !c.unreviewed || c.own == Gone {
 		return
 	}
+	c.unreviewed = false
 	counted := c.counted()
 	if !slices.Equal(counted, c.holding.Counted) {
 		c.recount(now, counted)
@@ -20,8 +21,12 @@
 	if c.lowered > 0 {
 		return
 	}
-	allowed := grshare.Allowed(c.Self.Member, without(counted, c.Self.Member), c.holdings(), c.registered)
-	next := grshare.Next(c.holding.Divisor, allowed, len(counted))
+	_, registered := c.shares.Get(registeredKey(c.Self.ID))
+	view := grshare.View{
+		Self: c.Self.Member, Others: without(counted, c.Self.Member), Holdings: c.holdings(),
+		Ended: c.ended, Registered: registered, Read: c.registered,
+	}
+	next := grshare.Next(c.holding.Divisor, view.Allowed(), len(counted))
 	if next != c.holding.Divisor {
 		c.holding.Divisor = next
 		c.out.Searchers = true
@@ -60,6 +65,7 @@
 	c.with(out, func() {
 		c.holding.Divisor = c.lowered
 		c.lowered = 0
+		c.unreviewed = true
 		c.publishHolding(now)
 		c.review(now)
 	})
@@ -82,6 +88,16 @@
 	return list
 }
 
+// ended reports whether a run of a member is proved to have ended, by proof or
+// by a later run under the same id.
+func (c *Control) ended(m grshare.Member) bool {
+	item, ok := c.items.Get(memberKey(m.ID))
+	if !ok {
+		return false
+	}
+	return runOf(item.Version) > m.Run || runOf(item.Version) == m.Run && StateOf(item.Version) == Gone
+}
+
 func (c *Control) holdings() map[grshare.Member]grshare.Holding {
 	all := make(map[grshare.Member]grshare.Holding)
 	for _, m := range c.Group() {
--- a/coordination/grcontrol/value.go
+++ b/coordination/grcontrol/value.go
@@ -13,11 +13,12 @@
 
 // The kinds of values.
 const (
-	MemberKind   Kind = iota + 1 // an entry instance
-	SearcherKind                 // a searcher
-	HoldingKind                  // how an instance divides connection limits
-	PresetKind                   // the preset in force
-	MapKind                      // a shard map
+	MemberKind     Kind = iota + 1 // an entry instance
+	SearcherKind                   // a searcher
+	HoldingKind                    // how an instance divides connection limits
+	RegisteredKind                 // an id stands in the platform's list of members
+	PresetKind                     // the preset in force
+	MapKind                        // a shard map
 )
 
 // State is the state of a member or searcher.
@@ -95,9 +96,10 @@
 	return versionOf(runOf(v), countOf(v)+1, state)
 }
 
-func memberKey(id grid.InstanceID) grspread.Key   { return grspread.Key("member/" + id) }
-func holdingKey(id grid.InstanceID) grspread.Key  { return grspread.Key("holding/" + id) }
-func searcherKey(id grid.SearcherID) grspread.Key { return grspread.Key("searcher/" + id) }
-func mapKey(c grid.Collection) grspread.Key       { return grspread.Key("map/" + c) }
+func memberKey(id grid.InstanceID) grspread.Key     { return grspread.Key("member/" + id) }
+func holdingKey(id grid.InstanceID) grspread.Key    { return grspread.Key("holding/" + id) }
+func searcherKey(id grid.SearcherID) grspread.Key   { return grspread.Key("searcher/" + id) }
+func registeredKey(id grid.InstanceID) grspread.Key { return grspread.Key("registered/" + id) }
+func mapKey(c grid.Collection) grspread.Key         { return grspread.Key("map/" + c) }
 
 const presetKey grspread.Key = "preset"
--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -30,13 +30,16 @@
 	l.dispatch(now, out)
 }
 
-// ConnLost notes that a connection ended while it was idle.
+// ConnLost notes that a connection ended while it was idle; its place is freed
+// by a close.
 func (l *Leaf) ConnLost(now grclock.Millis, searcher int32, conn ConnID, out *Out) {
 	r := &l.replicas[searcher]
 	for i, c := range r.conns.idle {
 		if c == conn {
 			r.conns.idle = append(r.conns.idle[:i], r.conns.idle[i+1:]...)
 			r.conns.total--
+			l.Counters.ConnsClosed++
+			l.act(out, CloseConn, searcher, conn, 0, SubKey{}, 0)
 			break
 		}
 	}
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -269,6 +269,12 @@
 	r.settle(now, leaf, out)
 }
 
+// ConnLost notes that the other end closed a connection while it was idle.
+func (r *Router) ConnLost(now grclock.Millis, leaf, searcher int32, conn grleaf.ConnID, out *Out) {
+	r.leaves[leaf].ConnLost(now, searcher, conn, &out.leaf)
+	r.settle(now, leaf, out)
+}
+
 // ReturnConn gives back a connection that was drawn from the leaf for a check.
 func (r *Router) ReturnConn(now grclock.Millis, leaf, searcher int32, conn grleaf.ConnID, healthy bool, out *Out) {
 	r.leaves[leaf].ReturnConn(now, searcher, conn, healthy, &out.leaf)
--- a/coordination/grshare/share.go
+++ b/coordination/grshare/share.go
@@ -10,10 +10,17 @@
 // is below the number of holders. An instance leaves the count only by proof
 // that its connections are closed; silence is no proof.
 //
-//	divisor := grshare.Allowed(self, counted, holdings, established)
+// Instances that start at the same time are put in an order by the platform's
+// list of members: one that stands in no list holds nothing.
+//
+//	divisor := view.Allowed()
 package grshare
 
-import "geraniumrouter/state/grid"
+import (
+	"slices"
+
+	"geraniumrouter/state/grid"
+)
 
 // Member is one run of an instance.
 type Member struct {
@@ -29,24 +36,31 @@
 
 // Counts reports whether the holding counts the member.
 func (h *Holding) Counts(m Member) bool {
-	for _, c := range h.Counted {
-		if c == m {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(h.Counted, m)
+}
+
+// View is what an instance knows of those it shares searchers with.
+type View struct {
+	Self     Member
+	Others   []Member // counted beside itself
+	Holdings map[Member]Holding
+	Ended    func(Member) bool // whether a run is proved to have ended
+	// Registered tells whether Self's id stands in the platform's list of
+	// members, and Read whether this run read the whole list.
+	Registered, Read bool
 }
 
-// Allowed returns the smallest divisor that self may use, or 0 while it may
-// hold nothing. others are the instances that self counts beside itself;
-// holdings are what they published; registered tells whether self stands in
-// the platform's list of members, which orders those that start at once.
-func Allowed(self Member, others []Member, holdings map[Member]Holding, registered bool) int {
-	n := len(others) + 1
-	established := registered
-	for _, o := range others {
-		h, known := holdings[o]
-		if !known || !h.Counts(self) {
+// Allowed returns the smallest divisor that the instance may use, or 0 while it
+// may hold nothing.
+func (v *View) Allowed() int {
+	if !v.Registered {
+		return 0
+	}
+	n := len(v.Others) + 1
+	established := v.Read
+	for _, o := range v.Others {
+		h, known := v.Holdings[o]
+		if !known || !h.Counts(v.Self) || !v.countsAll(h.Counted) {
 			return 0
 		}
 		if h.Divisor > 0 && h.Divisor < n {
@@ -60,6 +74,17 @@
 	return n
 }
 
+// countsAll reports whether the instance counts, or knows to have ended, all
+// that another counts.
+func (v *View) countsAll(list []Member) bool {
+	for _, m := range list {
+		if m != v.Self && !slices.Contains(v.Others, m) && !v.Ended(m) {
+			return false
+		}
+	}
+	return true
+}
+
 // Next returns the divisor to use: never below what is allowed or counted. A
 // holder that counts more instances than before must divide by more at once; it
 // divides by less only when that is allowed.
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -155,6 +155,8 @@
 		for _, m := range v.Holding.Counted {
 			w.Holding.Counted = append(w.Holding.Counted, runTo(m))
 		}
+	case grcontrol.RegisteredKind:
+		w.Holding = &HoldingWire{Holder: runTo(v.Holder)}
 	case grcontrol.PresetKind:
 		active := ActiveTo(v.Active)
 		w.Active = &active
@@ -178,6 +180,8 @@
 		for _, m := range w.Holding.Counted {
 			v.Holding.Counted = append(v.Holding.Counted, runFrom(m))
 		}
+	case v.Kind == grcontrol.RegisteredKind && w.Holding != nil:
+		v.Holder = runFrom(w.Holding.Holder)
 	case v.Kind == grcontrol.PresetKind && w.Active != nil:
 		active, err := ActiveFrom(w.Active)
 		if err != nil {
--- a/standin/grstandfleet/fault.go
+++ b/standin/grstandfleet/fault.go
@@ -159,14 +159,13 @@
 // checkShares checks that the connections of all members together are within
 // the limit. A paused member keeps its connections.
 func (f *Fleet) checkShares() {
-	groups := uint64(f.Config.Members+groupSize-1) / groupSize
-	total := make([]int, groups)
+	clear(f.totals)
 	for _, m := range f.members {
 		if m.alive && m.conns > 0 {
-			total[grid.Hash(instanceID(m.index))%groups] += f.Config.ConnLimit / m.conns
+			f.totals[m.group] += f.Config.ConnLimit / m.conns
 		}
 	}
-	for _, n := range total {
+	for _, n := range f.totals {
 		if n > f.Config.ConnLimit {
 			f.violate("connections: %d of %d, divisors %v", n, f.Config.ConnLimit, f.Divisors())
 		}
@@ -181,3 +180,37 @@
 	}
 	return text
 }
+
+// healTime is enough for all to agree again.
+const healTime = 5 * grclock.Second
+
+// Heal ends all faults, restarts what was killed and lets everything settle.
+func (f *Fleet) Heal() {
+	f.Platform.Down, f.Platform.Stale = false, false
+	clear(f.cuts)
+	for i, m := range f.members {
+		if !m.alive {
+			f.Restart(i)
+		}
+	}
+	f.Run(healTime)
+}
+
+// CheckHealed checks that the last switch is in force on all, and that each
+// holds its part of the connections.
+func (f *Fleet) CheckHealed() {
+	if last := grid.Generation(len(f.Platform.active)); last > 0 {
+		if have, live := f.InForce(last); have != live {
+			f.violate("healed: generation %d is in force on %d of %d", last, have, live)
+		}
+	}
+	for _, m := range f.members {
+		if m.conns != len(f.members) {
+			f.violate("healed: divisors %v of %d members", f.Divisors(), len(f.members))
+			return
+		}
+	}
+}
+
+// Entries returns the number of entries that a member tells callers to use.
+func (f *Fleet) Entries(i int) int { return len(f.members[i].control.Entries("d1", 1)) }
--- a/standin/grstandfleet/fleet.go
+++ b/standin/grstandfleet/fleet.go
@@ -43,6 +43,7 @@
 	AcceptOld           // a member takes a lower generation
 	LoseSwitch          // accepted switches are told to nobody
 	SilenceIsGone       // a silent member counts as ended
+	NeverSettle         // members do not read the platform
 )
 
 // groupSize is the number of members that share searchers, about.
@@ -80,6 +81,7 @@
 	seq       uint64
 	report    Report
 	cuts      map[[2]int]bool
+	totals    []int // connections by group, for checkShares
 	counter   countingWriter
 	encoder   *gob.Encoder
 }
@@ -98,6 +100,9 @@
 type member struct {
 	fleet      *Fleet
 	index      int
+	id         grid.InstanceID
+	address    grid.Address
+	group      int // of those that share searchers
 	control    *grcontrol.Control
 	out        grcontrol.Out
 	alive      bool
@@ -127,6 +132,7 @@
 		c.ConnLimit = 25
 	}
 	f := &Fleet{Config: c, random: grid.Random{State: c.Seed}, cuts: make(map[[2]int]bool), byAddress: make(map[grid.Address]*member)}
+	f.totals = make([]int, f.groups())
 	f.tasks.Less = func(a, b task) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
 	f.encoder = gob.NewEncoder(&f.counter)
 	f.Platform.members = make(map[grid.InstanceID]grcontrol.Member)
@@ -137,9 +143,10 @@
 		}})
 	}
 	for i := range c.Members {
-		m := &member{fleet: f, index: i}
+		m := &member{fleet: f, index: i, id: instanceID(i), address: address(i)}
+		m.group = int(grid.Hash(m.id) % uint64(f.groups()))
 		f.members = append(f.members, m)
-		f.byAddress[address(i)] = m
+		f.byAddress[m.address] = m
 		f.after(grclock.Millis(i*startEvery), func() { m.start() })
 	}
 	return f
@@ -177,6 +184,9 @@
 	}
 }
 
+// groups is the number of sets of members that share searchers.
+func (f *Fleet) groups() int { return (f.Config.Members + groupSize - 1) / groupSize }
+
 func instanceID(i int) grid.InstanceID { return grid.InstanceID(fmt.Sprintf("entry-%d", i+1)) }
 
 func address(i int) grid.Address { return grid.Address(fmt.Sprintf("10.1.%d.%d:70", i/250, i%250)) }
@@ -189,12 +199,12 @@
 	m.inForce, m.generation, m.conns = false, 0, 0
 	m.control = &grcontrol.Control{
 		Self: grcontrol.Member{
-			Member: grshare.Member{ID: instanceID(m.index), Run: m.run}, Peers: address(m.index), Callers: address(m.index),
+			Member: grshare.Member{ID: m.id, Run: m.run}, Peers: m.address, Callers: m.address,
 			Domain: grid.FailureDomain(fmt.Sprintf("d%d", m.index%f.Config.Domains)),
 		},
 		Random: grid.Random{State: f.random.Uint64()},
 		Push:   !f.Config.NoPush,
-		Groups: (f.Config.Members + groupSize - 1) / groupSize,
+		Groups: f.groups(),
 	}
 	for s := range min(3, f.Config.Members) {
 		m.control.Seeds = append(m.control.Seeds, address((m.index+1+s)%f.Config.Members))
@@ -236,16 +246,16 @@
 func (m *member) readPlatform() {
 	f := m.fleet
 	p := &f.Platform
-	first := p.members[instanceID(m.index)].Run != m.run
-	if p.Down || !first && !m.control.Watches() {
+	first := p.members[m.id].Run != m.run
+	if p.Down || f.Config.Plant == NeverSettle || !first && !m.control.Watches() {
 		return
 	}
 	p.Calls++
 	if first {
-		p.members[instanceID(m.index)] = m.control.Self
+		p.members[m.id] = m.control.Self
 		var list []grcontrol.Member
 		for i := range f.members {
-			if other, ok := p.members[instanceID(i)]; ok {
+			if other, ok := p.members[f.members[i].id]; ok {
 				list = append(list, other)
 			}
 		}
@@ -298,10 +308,10 @@
 		generation--
 	}
 	if m.inForce && generation < m.generation {
-		f.violate("preset: %s went from generation %d to %d", instanceID(m.index), m.generation, generation)
+		f.violate("preset: %s went from generation %d to %d", m.id, m.generation, generation)
 	}
 	if generation < m.floor {
-		f.violate("preset: %s had generation %d before its restart and now %d", instanceID(m.index), m.floor, generation)
+		f.violate("preset: %s had generation %d before its restart and now %d", m.id, m.floor, generation)
 	}
 	m.inForce, m.generation = true, generation
 }
@@ -315,6 +325,10 @@
 	if f.lost(from, to) {
 		return
 	}
+	if f.Config.Plant == SilenceIsGone && to.paused {
+		f.after(wait, func() { from.refused(run, o) })
+		return
+	}
 	f.after(wait, func() {
 		if !to.alive {
 			f.after(f.oneWay(), func() { from.refused(run, o) })
@@ -346,7 +360,7 @@
 		return
 	}
 	m.deliver(func() {
-		m.control.Answered(f.Now, instanceID(from.index))
+		m.control.Answered(f.Now, from.id)
 		if !ok {
 			return
 		}
@@ -355,7 +369,7 @@
 		next, more := m.control.Receive(f.Now, answer, &m.out)
 		m.carryOut()
 		if more {
-			f.send(m, grcontrol.Outgoing{To: address(from.index), Message: next})
+			f.send(m, grcontrol.Outgoing{To: from.address, Message: next})
 		}
 	})
 }
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -145,6 +145,7 @@
 		c.state.PlatformRead(&c.out)
 	case e.instances != nil:
 		c.state.TakeSearchers(now, searchersOf(e.instances), &c.out)
+		c.state.TakeEntries(now, entriesOf(e.instances), &c.out)
 	case e.active != nil:
 		c.state.Adopt(now, e.active, &c.out)
 	case e.message != nil:
@@ -320,3 +321,13 @@
 	}
 	return list
 }
+
+func entriesOf(instances []grwire.InstanceWire) []grid.InstanceID {
+	var list []grid.InstanceID
+	for _, i := range instances {
+		if i.Kind == grwire.KindEntry {
+			list = append(list, grid.InstanceID(i.ID))
+		}
+	}
+	return list
+}
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -164,6 +164,8 @@
 			l.node.control.post(controlEvent{leaving: &leavingEvent{s.ID, s.Run}})
 		}
 		l.router.Reply(now, p.Leaf, e.Reply, &l.out)
+	case grupstream.Ended:
+		l.router.ConnLost(now, p.Leaf, p.Searcher, p.Conn, &l.out)
 	case grupstream.Checked:
 		l.router.ReturnConn(now, p.Leaf, p.Searcher, p.Conn, e.Healthy, &l.out)
 	}
--- a/transport/grnode/platform.go
+++ b/transport/grnode/platform.go
@@ -84,7 +84,7 @@
 			Deadline: c.node.Clock.Now() + registerTimeout,
 			Random:   grid.Random{State: uint64(c.node.run)},
 			Apply: func(current grwire.MembersWire, _ grid.Revision) grchange.Verdict[grwire.MembersWire] {
-				return withMember(current, self, c.gone())
+				return withMember(current, self)
 			},
 		}
 		step := grplatform.Run(ctx, c.node.platform, grwire.MembersKey, membersCodec, change)
@@ -96,24 +96,15 @@
 	return nil
 }
 
-// gone returns the ids of registered members that are known to have ended.
-func (c *control) gone() map[grid.InstanceID]bool {
-	ended := make(map[grid.InstanceID]bool)
-	c.inspect(func(s *grcontrol.Control) {
-		for _, id := range s.GoneMembers() {
-			ended[id] = true
-		}
-	})
-	return ended
-}
-
-func withMember(current grwire.MembersWire, self grwire.MemberWire, gone map[grid.InstanceID]bool) grchange.Verdict[grwire.MembersWire] {
+// withMember adds this run to the list. Ids are never taken out: one that
+// returns while the platform is down relies on standing in it.
+func withMember(current grwire.MembersWire, self grwire.MemberWire) grchange.Verdict[grwire.MembersWire] {
 	next := grwire.MembersWire{Members: []grwire.MemberWire{self}}
 	for _, m := range current.Members {
 		if m == self {
 			return grchange.Verdict[grwire.MembersWire]{Settled: true}
 		}
-		if m.ID != self.ID && !gone[grid.InstanceID(m.ID)] {
+		if m.ID != self.ID {
 			next.Members = append(next.Members, m)
 		}
 	}
--- a/transport/grupstream/control.go
+++ b/transport/grupstream/control.go
@@ -65,6 +65,10 @@
 func (c *control) keep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if l, err := dial(ctx, c.address); err == nil {
+			c.pool.Group.Start(func(context.Context) error {
+				l.read()
+				return nil
+			})
 			c.serve(ctx, l)
 			l.Close()
 		}
@@ -81,6 +85,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.ended:
+			return
 		case attempt := <-c.cancels.Out():
 			body := grwire.Encode(grwire.CancelRequest{Caller: c.pool.Caller, Attempt: uint64(attempt)})
 			var ignored struct{}
--- a/transport/grupstream/pool.go
+++ b/transport/grupstream/pool.go
@@ -7,12 +7,7 @@
 package grupstream
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -42,6 +37,7 @@
 	NotOpen                   // a connection could not be opened
 	Replied                   // an attempt ended
 	Checked                   // an idle connection was checked
+	Ended                     // the other end closed the connection
 	LoadRead                  // the control connection read the load
 )
 
@@ -167,10 +163,17 @@
 		return nil
 	}
 	c.pool.Report(Event{Kind: Opened, Place: c.place})
+	c.pool.Group.Start(func(context.Context) error {
+		l.read()
+		return nil
+	})
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-l.ended:
+			c.pool.Report(Event{Kind: Ended, Place: c.place})
+			return nil
 		case j := <-c.jobs.Out():
 			if j.kind == jobClose {
 				return nil
@@ -215,70 +218,3 @@
 	}
 	return grwire.ReplyFor(asked, &got)
 }
-
-// link is a TCP connection that counts the bytes sent, so that "nothing was
-// sent" can be proved.
-type link struct {
-	net.Conn
-	reader *bufio.Reader
-	sent   int
-}
-
-func dial(ctx context.Context, address grid.Address) (*link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	c, err := dialer.DialContext(ctx, "tcp", string(address))
-	if err != nil {
-		return nil, err
-	}
-	return &link{Conn: c, reader: bufio.NewReader(c)}, nil
-}
-
-// Write counts the bytes that were handed to the network.
-func (l *link) Write(data []byte) (int, error) {
-	n, err := l.Conn.Write(data)
-	l.sent += n
-	return n, err
-}
-
-// failure names the end of an attempt whose exchange failed.
-func (l *link) failure() grleaf.ReplyKind {
-	if l.sent == 0 {
-		return grleaf.Refused
-	}
-	return grleaf.LostReply
-}
-
-// exchange sends one HTTP request and reads its answer into into.
-func (l *link) exchange(method, path string, header http.Header, body []byte, silent grclock.Millis, into any) error {
-	if err := l.SetDeadline(grclock.DeadlineIn(silent)); err != nil {
-		return err
-	}
-	request, err := http.NewRequest(method, "http://"+l.RemoteAddr().String()+path, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header = header
-	buffered := bufio.NewWriter(l)
-	if err := request.Write(buffered); err != nil {
-		return err
-	}
-	if err := buffered.Flush(); err != nil {
-		return err
-	}
-	response, err := http.ReadResponse(l.reader, request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(data, into)
-}
-
-func readLoad(l *link, silent grclock.Millis) (grwire.LoadReply, error) {
-	var load grwire.LoadReply
-	err := l.exchange(http.MethodGet, grwire.LoadPath, http.Header{}, nil, silent, &load)
-	return load, err
-}
--- a/wholepath/processes_test.go
+++ b/wholepath/processes_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -30,7 +31,8 @@
 
 // fleet is a deployment as separate processes.
 type fleet struct {
-	t          *testing.T
+	t          *testing.T // of the part that runs
+	root       *testing.T // outlives the parts
 	deployment grstanddata.Deployment
 	layout     grstanddemo.Layout
 	bin        string
@@ -38,6 +40,8 @@
 	upstreams  map[grid.FailureDomain]*exec.Cmd
 	entries    [grstanddemo.Entries]*exec.Cmd
 	client     *grclient.Client
+	mu         sync.Mutex
+	requests   map[string]bool // answered as done
 }
 
 func startFleet(t *testing.T, d grstanddata.Deployment) *fleet {
@@ -45,14 +49,14 @@
 	if testing.Short() {
 		t.Skip("separate processes are left out of short runs")
 	}
-	f := &fleet{t: t, deployment: d, layout: grstanddemo.Layout{Port: freePorts(t)}, bin: t.TempDir()}
+	f := &fleet{t: t, root: t, deployment: d, layout: grstanddemo.Layout{Port: freePorts(t)}, bin: t.TempDir()}
 	f.build()
 	f.upstreams = make(map[grid.FailureDomain]*exec.Cmd)
+	f.requests = make(map[string]bool)
 	port := fmt.Sprint(f.layout.Port)
 	f.platform = f.start("geraniumstandin", "platform", "--deployment", d.Name, "--port", port)
 	for _, domain := range d.Domains {
-		f.upstreams[domain] = f.start("geraniumstandin", "upstream", "--deployment", d.Name, "--port", port,
-			"--service-ms", "5", "--failure-domain", string(domain))
+		f.startUpstream(domain)
 	}
 	f.client = &grclient.Client{Clock: grclock.System()}
 	for i := range f.entries {
@@ -79,16 +83,22 @@
 	if err := c.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	f.t.Cleanup(func() {
+	f.root.Cleanup(func() {
 		_ = c.Process.Kill()
 		_ = c.Wait()
-		if f.t.Failed() && output.Len() > 0 {
-			f.t.Logf("%s %s:\n%s", program, strings.Join(args, " "), tail(output.String(), 2000))
+		if f.root.Failed() && output.Len() > 0 {
+			f.root.Logf("%s %s:\n%s", program, strings.Join(args, " "), tail(output.String(), 2000))
 		}
 	})
 	return c
 }
 
+// startUpstream starts the searchers of one failure domain.
+func (f *fleet) startUpstream(domain grid.FailureDomain) {
+	f.upstreams[domain] = f.start("geraniumstandin", "upstream", "--deployment", f.deployment.Name,
+		"--port", fmt.Sprint(f.layout.Port), "--service-ms", "5", "--failure-domain", string(domain))
+}
+
 func tail(text string, n int) string { return text[max(0, len(text)-n):] }
 
 // startEntry starts an entry instance from a settings file.
@@ -125,7 +135,7 @@
 	f.t.Fatalf("never: %s", what)
 }
 
-// post calls a control or operators' port and reports whether it went well.
+// call calls a control or operators' port and reports whether it went well.
 func (f *fleet) call(method string, address grid.Address, path string, ask, into any) bool {
 	status, err := f.client.Call(context.Background(), address, method, path, 10*grclock.Second, ask, into)
 	return err == nil && status == http.StatusOK
