--- /dev/null
+++ b/cmd/geraniumbench/path.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/standin/grstandbench"
+)
+
+// pathSeeds is the number of seeds of each row.
+const pathSeeds = 6
+
+// measurePath prints a row for each kind of stragglers, policy and load.
+func measurePath(w io.Writer) {
+	fmt.Fprintf(w, "%-8s %-10s %-9s %6s %6s %7s %9s %7s %8s\n",
+		"services", "stragglers", "policy", "p50", "p99", "p99.9", "coverage", "extra", "goodput")
+	policies := []struct {
+		name   string
+		policy grleaf.Policy
+	}{{"own", grleaf.DefaultPolicy()}, {"no hedge", grstandbench.NoHedge()}, {"fixed", grstandbench.FixedHedge()}}
+	for kind, name := range []string{"none", "stretches", "random"} {
+		for _, p := range policies {
+			c := grstandbench.Config{Stragglers: grstandbench.Stragglers(kind), Policy: p.policy, Queries: 6000}
+			printRow(w, "pairs", name, p.name, grstandbench.RunSeeds(c, pathSeeds))
+			c.Services, c.Searchers, c.Slots, c.ConnLimit, c.Connect = 1, 4, 4, 100, 1
+			printRow(w, "fours", name, p.name, grstandbench.RunSeeds(c, pathSeeds))
+		}
+	}
+	for _, load := range []float64{0.5, 1, 2, 4} {
+		c := grstandbench.Config{Load: load, Deadline: 300, Queries: 6000}
+		printRow(w, "pairs", "none", fmt.Sprintf("load %g", load), grstandbench.RunSeeds(c, pathSeeds))
+	}
+}
+
+func printRow(w io.Writer, services, stragglers, policy string, r grstandbench.Report) {
+	fmt.Fprintf(w, "%-8s %-10s %-9s %6d %6d %7d %9.4f %7.4f %8.3f\n",
+		services, stragglers, policy, r.P50, r.P99, r.P999, r.Coverage, r.ExtraLoad, r.Goodput)
+}
--- /dev/null
+++ b/cmd/geraniumbench/wire.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync/atomic"
+	"syscall"
+
+	"geraniumrouter/protocol/grwire"
+	"geraniumrouter/standin/grstanddata"
+	"geraniumrouter/standin/grstanddemo"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+	"geraniumrouter/transport/grclient"
+	"geraniumrouter/transport/grgroup"
+)
+
+// Terms of the measurement over real connections.
+const (
+	wirePort    = 28000
+	wireCallers = 8
+	wireService = 4 * grclock.Millisecond
+)
+
+// measureWire runs a deployment in this process and measures the time of the
+// processor for a sub-request, callers and searchers included.
+func measureWire(w io.Writer, queries int) error {
+	clock := grclock.System()
+	cluster := &grstanddemo.Cluster{Deployment: grstanddata.Kinoko(), Port: wirePort, Service50: wireService, Clock: clock}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	cluster.Start(ctx)
+	if err := grstanddemo.Prepare(ctx, cluster); err != nil {
+		return err
+	}
+	before := processorTime()
+	start := clock.Now()
+	latencies, whole, err := askMany(ctx, cluster, queries)
+	if err != nil {
+		return err
+	}
+	used, took := processorTime()-before, clock.Now()-start
+	services := cluster.Deployment.Groups[0].Services
+	subs := float64(len(latencies) * services)
+	slices.Sort(latencies)
+	at := func(q float64) grclock.Millis { return latencies[int(q*float64(len(latencies)-1))] }
+	fmt.Fprintf(w, "%d queries of %d sub-requests in %d ms\n", len(latencies), services, took)
+	fmt.Fprintf(w, "answered whole: %d\n", whole)
+	fmt.Fprintf(w, "p50 %d ms, p99 %d ms, p99.9 %d ms\n", at(0.5), at(0.99), at(0.999))
+	fmt.Fprintf(w, "processor time for a sub-request, callers and searchers included: %.1f µs\n", used/subs)
+	return cluster.Stop()
+}
+
+// askMany lets several callers ask one after the other. It returns the
+// latencies and the number of answers that were whole.
+func askMany(ctx context.Context, cluster *grstanddemo.Cluster, queries int) ([]grclock.Millis, int64, error) {
+	var whole atomic.Int64
+	group := grgroup.New(ctx)
+	lists := make([][]grclock.Millis, wireCallers)
+	for i := range lists {
+		group.Start(func(ctx context.Context) error {
+			client := &grclient.Client{Clock: cluster.Clock, Seeds: []grid.Address{cluster.Layout().Callers(i % grstanddemo.Entries)}}
+			for range queries / wireCallers {
+				start := cluster.Clock.Now()
+				answer, err := client.Query(ctx, grwire.QueryRequest{Collection: string(cluster.Deployment.Groups[0].Collection), DeadlineMS: 1000})
+				if err != nil {
+					return err
+				}
+				if answer.Outcome == "done" {
+					whole.Add(1)
+				}
+				lists[i] = append(lists[i], cluster.Clock.Now()-start)
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	return slices.Concat(lists...), whole.Load(), err
+}
+
+// processorTime returns the time of the processor that this process used, in
+// microseconds.
+func processorTime() float64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	micros := func(t syscall.Timeval) float64 { return float64(t.Sec)*1e6 + float64(t.Usec) }
+	return micros(usage.Utime) + micros(usage.Stime)
+}
--- a/standin/grstanddemo/demo.go
+++ b/standin/grstanddemo/demo.go
@@ -25,11 +25,7 @@
 // Show runs queries against a started cluster, loses a service, switches the
 // preset and prints a line for each step.
 func Show(ctx context.Context, c *Cluster, w io.Writer) error {
-	client := &grclient.Client{Clock: c.Clock}
-	for i := range Entries {
-		client.Seeds = append(client.Seeds, c.Layout().Callers(i))
-	}
-	s := shower{cluster: c, client: client, out: w}
+	s := newShower(c, w)
 	fmt.Fprintf(w, "%-34s %-8s %9s %9s %6s %5s\n", "step", "outcome", "coverage", "records", "ms", "gen")
 	for _, step := range []func(context.Context) error{s.begin, s.ordinary, s.loseSearcher, s.loseService, s.switchPreset} {
 		if err := step(ctx); err != nil {
@@ -39,6 +35,20 @@
 	return nil
 }
 
+// Prepare stores the example presets, switches to the ordinary one and waits
+// until every entry is ready.
+func Prepare(ctx context.Context, c *Cluster) error {
+	return newShower(c, io.Discard).begin(ctx)
+}
+
+func newShower(c *Cluster, w io.Writer) *shower {
+	client := &grclient.Client{Clock: c.Clock}
+	for i := range Entries {
+		client.Seeds = append(client.Seeds, c.Layout().Callers(i))
+	}
+	return &shower{cluster: c, client: client, out: w}
+}
+
 type shower struct {
 	cluster *Cluster
 	client  *grclient.Client
