--- a/state/grsettings/settings.go
+++ b/state/grsettings/settings.go
@@ -219,6 +219,9 @@
 		Key:         p.text(sectionSecurity, port+"_key"),
 		ClientCA:    p.text(sectionSecurity, port+"_client_ca"),
 	}
+	if t.On() && port != "callers" && t.ClientCA == "" {
+		p.fault(sectionSecurity, port+"_client_ca", "", "a file; certificates are mutual on this port")
+	}
 	if (t.Certificate == "") != (t.Key == "") {
 		p.fault(sectionSecurity, port+"_key", t.Key, "a file, together with "+port+"_certificate")
 	}
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"os"
@@ -58,10 +59,18 @@
 // Run serves until ctx ends or a duty fails.
 func (n *Node) Run(ctx context.Context) error {
 	n.prepare(ctx)
+	secure, err := n.secure()
+	if err != nil {
+		return err
+	}
+	n.links.TLS = secure.links
 	listener, err := net.Listen("tcp", string(n.Settings.Peers))
 	if err != nil {
 		return err
 	}
+	if secure.peers != nil {
+		listener = tls.NewListener(listener, secure.peers)
+	}
 	peers := &grpeer.Service{OnMessage: n.onMessage, OnStatus: n.ownStatus}
 	n.group.Start(func(ctx context.Context) error { return peers.Serve(ctx, listener) })
 	n.group.Start(n.loop.run)
@@ -70,10 +79,11 @@
 	n.group.Start(n.control.watchInstances)
 	n.group.Start(n.control.register)
 	n.group.Start(n.claims.run)
-	callers := &grhttp.Server{Address: n.Settings.Callers, Handler: grhttp.Callers(callerDesk{n})}
+	callers := &grhttp.Server{Address: n.Settings.Callers, Handler: grhttp.Callers(callerDesk{n}), TLS: secure.callers}
 	operators := &grhttp.Server{
 		Address: n.Settings.Operators,
 		Handler: grhttp.Operators(operatorDesk{n}, n.Settings.OperatorToken, n.Metrics),
+		TLS:     secure.operators,
 	}
 	n.group.Start(n.awaitTermination)
 	n.group.Start(callers.Run)
