Compare maps part by part only when they stay different

Cause: right after a change the digests of members differ for as long as its pushes take, and each heartbeat then listed whole parts: the start of 320 members did not end within minutes, and 2,000 schedules took 13 s.

Ruled out: longer heartbeats, which delay the finding of losses.

--- a/cmd/geraniumbench/capacity.go
+++ b/cmd/geraniumbench/capacity.go
@@ -26,6 +26,7 @@
 	domains            = 9
 	spanIdle           = 10 * grclock.Second
 	changes            = 10 // switches measured
+	restarts           = 3  // restarts measured
 	maxSpread          = 8 * grclock.Second
 	spreadStep         = 10 * grclock.Millisecond
 )
@@ -40,12 +41,14 @@
 	micros        float64 // processor time for a message, µs
 	stateBytes    float64 // heap for a member
 	platformCalls float64 // of the whole fleet, for a second
+	restartBytes  float64 // for a member and restart of one of them
+	domainSpread  float64 // as spread, right after a failure domain was lost, ms
 }
 
-var columns = []string{"members", "messages_per_s", "bytes_per_s", "bytes_per_change", "spread_ms", "us_per_message", "state_bytes", "platform_calls_per_s"}
+var columns = []string{"members", "messages_per_s", "bytes_per_s", "bytes_per_change", "spread_ms", "us_per_message", "state_bytes", "platform_calls_per_s", "bytes_per_restart", "domain_spread_ms"}
 
 func (r *row) values() []float64 {
-	return []float64{float64(r.members), r.messages, r.bytes, r.changeBytes, r.spread, r.micros, r.stateBytes, r.platformCalls}
+	return []float64{float64(r.members), r.messages, r.bytes, r.changeBytes, r.spread, r.micros, r.stateBytes, r.platformCalls, r.restartBytes, r.domainSpread}
 }
 
 // measureCapacity measures every size, prints a table and writes CSV and SVG.
@@ -91,28 +94,62 @@
 	r.bytes = 2 * float64(after.Bytes-before.Bytes) / float64(n) / seconds
 	r.platformCalls = float64(f.Platform.Calls-calls) / seconds
 	measureChanges(f, &r)
+	measureRestarts(f, &r)
+	measureDomainLoss(f, &r)
 	return r
 }
 
+// idleBytes returns the bytes that the fleet would have sent without a change.
+func (r *row) idleBytes(span grclock.Millis) float64 {
+	return r.bytes / 2 * float64(r.members) * float64(span) / float64(grclock.Second)
+}
+
+// measureRestarts ends members and starts them again, one after the other.
+func measureRestarts(f *grstandfleet.Fleet, r *row) {
+	before, start := f.Report().Bytes, f.Now
+	for i := range restarts {
+		f.Kill(i)
+		f.Run(2 * grclock.Second)
+		f.Restart(i)
+		f.Run(5 * grclock.Second)
+	}
+	sent := float64(f.Report().Bytes-before) - r.idleBytes(f.Now-start)
+	r.restartBytes = 2 * sent / float64(r.members) / restarts
+}
+
+// measureDomainLoss ends all members of one failure domain at once and then
+// switches the preset.
+func measureDomainLoss(f *grstandfleet.Fleet, r *row) {
+	for i := 0; i < r.members; i += domains {
+		f.Kill(i)
+	}
+	r.domainSpread = spreadOf(f, 1)
+}
+
+// spreadOf switches the preset at a member and returns how long it took until
+// it was in force on all.
+func spreadOf(f *grstandfleet.Fleet, member int) float64 {
+	generation, _ := f.Switch(member, "ordinary")
+	start := f.Now
+	for f.Now-start < maxSpread {
+		f.Run(spreadStep)
+		if have, live := f.InForce(generation); have == live {
+			break
+		}
+	}
+	return float64(f.Now - start)
+}
+
 // measureChanges switches the preset several times, each time at another
 // member.
 func measureChanges(f *grstandfleet.Fleet, r *row) {
-	n := r.members
+	before, start := f.Report().Bytes, f.Now
 	for i := range changes {
-		bytes := f.Report().Bytes
-		generation, _ := f.Switch(i*7%n, "ordinary")
-		start := f.Now
-		for f.Now-start < maxSpread {
-			f.Run(spreadStep)
-			if have, live := f.InForce(generation); have == live {
-				break
-			}
-		}
-		r.spread = max(r.spread, float64(f.Now-start))
+		r.spread = max(r.spread, spreadOf(f, i*7%r.members))
 		f.Run(2 * grclock.Second)
-		idle := r.bytes / 2 * float64(n) * float64(f.Now-start) / float64(grclock.Second)
-		r.changeBytes += 2 * (float64(f.Report().Bytes-bytes) - idle) / float64(n) / changes
 	}
+	sent := float64(f.Report().Bytes-before) - r.idleBytes(f.Now-start)
+	r.changeBytes = 2 * sent / float64(r.members) / changes
 }
 
 func writeCSV(path string, rows []row) error {
--- a/cmd/geraniumrouter/caller.go
+++ b/cmd/geraniumrouter/caller.go
@@ -16,6 +16,7 @@
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/transport/grclient"
+	"geraniumrouter/transport/grtls"
 )
 
 // target is the flags that say whom to call and how to print.
@@ -24,24 +25,37 @@
 	domain  string
 	token   string
 	asJSON  bool
+
+	authority, certificate, key string // files, for ports with TLS
 }
 
 func (t *target) attach(sub *flaggy.Subcommand, usage string) {
 	sub.String(&t.entries, "e", "entries", usage)
 	sub.String(&t.domain, "", "failure-domain", "the caller's failure domain")
 	sub.String(&t.token, "", "token", "the operators' token; else from GERANIUMROUTER_TOKEN")
+	sub.String(&t.authority, "", "ca", "file of the authority of the port's certificate; turns TLS on")
+	sub.String(&t.certificate, "", "certificate", "file of the certificate to show")
+	sub.String(&t.key, "", "key", "file of its key")
 	sub.Bool(&t.asJSON, "", "json", "print JSON for programs")
 }
 
-func (t *target) client() *grclient.Client {
+func (t *target) client() (*grclient.Client, error) {
 	c := &grclient.Client{Clock: grclock.System(), Domain: grid.FailureDomain(t.domain), Token: t.token}
+	if t.authority != "" {
+		files := &grtls.Files{Certificate: t.certificate, Key: t.key, ClientCA: t.authority, Clock: c.Clock}
+		config, err := files.Client()
+		if err != nil {
+			return nil, err
+		}
+		c.TLS = config
+	}
 	if c.Token == "" {
 		c.Token = os.Getenv("GERANIUMROUTER_TOKEN")
 	}
 	for _, a := range strings.Split(t.entries, ",") {
 		c.Seeds = append(c.Seeds, grid.Address(strings.TrimSpace(a)))
 	}
-	return c
+	return c, nil
 }
 
 const (
@@ -80,7 +94,11 @@
 }
 
 func runQuery(t *target, ask grwire.QueryRequest) int {
-	answer, err := t.client().Query(context.Background(), ask)
+	c, err := t.client()
+	if err != nil {
+		return misused(err)
+	}
+	answer, err := c.Query(context.Background(), ask)
 	if err != nil {
 		return failed(err)
 	}
@@ -94,7 +112,11 @@
 	if !t.asJSON {
 		fmt.Println("request id:", ask.RequestID)
 	}
-	answer, err := t.client().Request(context.Background(), ask)
+	c, err := t.client()
+	if err != nil {
+		return misused(err)
+	}
+	answer, err := c.Request(context.Background(), ask)
 	if err != nil {
 		return failed(err)
 	}
@@ -102,7 +124,10 @@
 }
 
 func runEntries(t *target) int {
-	c := t.client()
+	c, err := t.client()
+	if err != nil {
+		return misused(err)
+	}
 	reply, err := c.AskEntries(context.Background(), c.Seeds[0])
 	if err != nil {
 		return failed(err)
--- a/cmd/geraniumrouter/operator.go
+++ b/cmd/geraniumrouter/operator.go
@@ -21,7 +21,10 @@
 // ask makes one call to the operators' port. A refusal comes back as a
 // *grfault.Fault.
 func (t *target) ask(method, path string, body, into any) error {
-	c := t.client()
+	c, err := t.client()
+	if err != nil {
+		return err
+	}
 	var raw json.RawMessage
 	status, err := c.Call(context.Background(), c.Seeds[0], method, path, operatorWait, body, &raw)
 	if err != nil {
--- /dev/null
+++ b/coordination/grleaf/counters.go
@@ -0,0 +1,31 @@
+package grleaf
+
+// Counters count what a leaf did since it was made.
+type Counters struct {
+	Submitted, First, Hedges, Retries   uint64
+	Resent                              uint64 // after an attempt that did not start
+	Answered, NotAnswered, LateReplies  uint64
+	Sheds, Ejections, SilentConns       uint64
+	HedgesDenied, RetriesDenied, Cancel uint64
+	ConnsOpened, ConnsClosed            uint64
+}
+
+// Add sums the counters of another leaf into c.
+func (c *Counters) Add(o *Counters) {
+	c.Submitted += o.Submitted
+	c.First += o.First
+	c.Hedges += o.Hedges
+	c.Retries += o.Retries
+	c.Resent += o.Resent
+	c.Answered += o.Answered
+	c.NotAnswered += o.NotAnswered
+	c.LateReplies += o.LateReplies
+	c.Sheds += o.Sheds
+	c.Ejections += o.Ejections
+	c.SilentConns += o.SilentConns
+	c.HedgesDenied += o.HedgesDenied
+	c.RetriesDenied += o.RetriesDenied
+	c.Cancel += o.Cancel
+	c.ConnsOpened += o.ConnsOpened
+	c.ConnsClosed += o.ConnsClosed
+}
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -130,69 +130,6 @@
 // Reset empties the lists.
 func (o *Out) Reset() { o.Actions, o.Done = o.Actions[:0], o.Done[:0] }
 
-// Policy holds the tunable terms of a leaf.
-type Policy struct {
-	HedgeQuantile  float64        // latency quantile after which a second copy is sent; 0 sends none
-	HedgeDelay     grclock.Millis // fixed delay of the second copy in place of the quantile
-	HedgeMin       grclock.Millis // least delay of the second copy
-	AbandonRatio   float64        // age ÷ delay of the second copy at which the first is cancelled; 0 never
-	HedgeShare     float64        // extra sub-requests for hedges ÷ first ones, for the budget
-	RetryShare     float64        // extra sub-requests for retries ÷ first ones, for the budget
-	MaxAttempts    int            // copies of one sub-request, the first included
-	MaxQueue       int            // sub-requests that wait
-	SilentLimit    grclock.Millis // an attempt without an answer this long ends its connection
-	SlowStart      grclock.Millis // span over which a new searcher comes to full weight
-	EjectAfter     int            // failures in a row that take a searcher out
-	EjectFor       grclock.Millis // first span that it stays out
-	BackoffMax     grclock.Millis // longest pause after a searcher shed
-	Choice         Choice         // how a searcher is chosen
-	FixedWindow    bool           // keep windows at their start value
-	WindowPerSlot  float64        // largest window ÷ slots
-	SpareConns     int            // idle connections kept beyond the window
-	ReopenInterval grclock.Millis // pause after a connection could not be opened
-}
-
-// Choice selects the rule by which a searcher is chosen.
-type Choice uint8
-
-// The rules of choice.
-const (
-	Weighted   Choice = iota // least expected wait
-	Random                   // any
-	RoundRobin               // in turn
-)
-
-// DefaultPolicy returns the policy used where a preset does not say otherwise.
-func DefaultPolicy() Policy {
-	return Policy{
-		HedgeQuantile:  0.965,
-		AbandonRatio:   1.5,
-		HedgeMin:       2 * grclock.Millisecond,
-		HedgeShare:     0.04,
-		RetryShare:     0.05,
-		MaxAttempts:    3,
-		MaxQueue:       256,
-		SilentLimit:    2 * grclock.Second,
-		SlowStart:      5 * grclock.Second,
-		EjectAfter:     3,
-		EjectFor:       grclock.Second,
-		BackoffMax:     20 * grclock.Millisecond,
-		WindowPerSlot:  1,
-		SpareConns:     1,
-		ReopenInterval: 250 * grclock.Millisecond,
-	}
-}
-
-// Counters count what a leaf did since it was made.
-type Counters struct {
-	Submitted, First, Hedges, Retries   uint64
-	Resent                              uint64 // after an attempt that did not start
-	Answered, NotAnswered, LateReplies  uint64
-	Sheds, Ejections, SilentConns       uint64
-	HedgesDenied, RetriesDenied, Cancel uint64
-	ConnsOpened, ConnsClosed            uint64
-}
-
 // Leaf dispatches the sub-requests of one service. Set the exported fields
 // before the first call.
 type Leaf struct {
@@ -389,23 +326,3 @@
 		Kind: kind, Searcher: r, ID: l.replicas[r].ID, Conn: conn, Attempt: id, Key: key, Timeout: timeout,
 	})
 }
-
-// Add sums the counters of another leaf into c.
-func (c *Counters) Add(o *Counters) {
-	c.Submitted += o.Submitted
-	c.First += o.First
-	c.Hedges += o.Hedges
-	c.Retries += o.Retries
-	c.Resent += o.Resent
-	c.Answered += o.Answered
-	c.NotAnswered += o.NotAnswered
-	c.LateReplies += o.LateReplies
-	c.Sheds += o.Sheds
-	c.Ejections += o.Ejections
-	c.SilentConns += o.SilentConns
-	c.HedgesDenied += o.HedgesDenied
-	c.RetriesDenied += o.RetriesDenied
-	c.Cancel += o.Cancel
-	c.ConnsOpened += o.ConnsOpened
-	c.ConnsClosed += o.ConnsClosed
-}
--- /dev/null
+++ b/coordination/grleaf/policy.go
@@ -0,0 +1,56 @@
+package grleaf
+
+import "geraniumrouter/state/grclock"
+
+// Policy holds the tunable terms of a leaf.
+type Policy struct {
+	HedgeQuantile  float64        // latency quantile after which a second copy is sent; 0 sends none
+	HedgeDelay     grclock.Millis // fixed delay of the second copy in place of the quantile
+	HedgeMin       grclock.Millis // least delay of the second copy
+	AbandonRatio   float64        // age ÷ delay of the second copy at which the first is cancelled; 0 never
+	HedgeShare     float64        // extra sub-requests for hedges ÷ first ones, for the budget
+	RetryShare     float64        // extra sub-requests for retries ÷ first ones, for the budget
+	MaxAttempts    int            // copies of one sub-request, the first included
+	MaxQueue       int            // sub-requests that wait
+	SilentLimit    grclock.Millis // an attempt without an answer this long ends its connection
+	SlowStart      grclock.Millis // span over which a new searcher comes to full weight
+	EjectAfter     int            // failures in a row that take a searcher out
+	EjectFor       grclock.Millis // first span that it stays out
+	BackoffMax     grclock.Millis // longest pause after a searcher shed
+	Choice         Choice         // how a searcher is chosen
+	FixedWindow    bool           // keep windows at their start value
+	WindowPerSlot  float64        // largest window ÷ slots
+	SpareConns     int            // idle connections kept beyond the window
+	ReopenInterval grclock.Millis // pause after a connection could not be opened
+}
+
+// Choice selects the rule by which a searcher is chosen.
+type Choice uint8
+
+// The rules of choice.
+const (
+	Weighted   Choice = iota // least expected wait
+	Random                   // any
+	RoundRobin               // in turn
+)
+
+// DefaultPolicy returns the policy used where a preset does not say otherwise.
+func DefaultPolicy() Policy {
+	return Policy{
+		HedgeQuantile:  0.965,
+		AbandonRatio:   1.5,
+		HedgeMin:       2 * grclock.Millisecond,
+		HedgeShare:     0.04,
+		RetryShare:     0.05,
+		MaxAttempts:    3,
+		MaxQueue:       256,
+		SilentLimit:    2 * grclock.Second,
+		SlowStart:      5 * grclock.Second,
+		EjectAfter:     3,
+		EjectFor:       grclock.Second,
+		BackoffMax:     20 * grclock.Millisecond,
+		WindowPerSlot:  1,
+		SpareConns:     1,
+		ReopenInterval: 250 * grclock.Millisecond,
+	}
+}
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -14,6 +14,9 @@
 package grrouter
 
 import (
+	"cmp"
+	"slices"
+
 	"geraniumrouter/coordination/gradmission"
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grstat"
@@ -211,6 +214,16 @@
 	return nil
 }
 
+// Maps returns the shard maps in use, ordered by collection.
+func (r *Router) Maps() []*grsnapshot.Map {
+	var list []*grsnapshot.Map
+	for _, c := range r.collections {
+		list = append(list, c.current)
+	}
+	slices.SortFunc(list, func(a, b *grsnapshot.Map) int { return cmp.Compare(a.Collection, b.Collection) })
+	return list
+}
+
 // SetService replaces the searchers of a service.
 func (r *Router) SetService(now grclock.Millis, name grid.Service, list []grleaf.Searcher, out *Out) {
 	leaf := r.leafFor(name)
--- a/coordination/grspread/spread.go
+++ b/coordination/grspread/spread.go
@@ -61,8 +61,11 @@
 	items   map[Key]Item[V]
 	digests [buckets]Digest
 	whole   Digest
-	hot     map[Key]int // pushes left
-	fresh   []Key       // changes since the last call of Fresh
+
+	changedAt  grclock.Millis // last change
+	repairedAt grclock.Millis // last comparison of parts
+	hot        map[Key]int    // pushes left
+	fresh      []Key          // changes since the last call of Fresh
 }
 
 // maxItems bounds the items of one message; the rest follows later.
@@ -123,6 +126,7 @@
 		change ^= digestOf(old.Key, old.Version)
 	}
 	m.items[item.Key] = item
+	m.changedAt = now
 	m.digests[part] ^= change
 	m.whole ^= change
 	if len(m.hot) < maxFresh {
@@ -171,12 +175,26 @@
 		m.compareListed(&got, &answer)
 	case len(got.Buckets) == buckets:
 		m.listDifferent(got.Buckets, &answer)
-	case got.Digest != m.whole && len(got.Want) == 0:
+	case got.Digest != m.whole && len(got.Want) == 0 && m.mayRepair(now):
+		m.repairedAt = now
 		answer.Buckets = append(answer.Buckets, m.digests[:]...)
 	}
 	return answer, len(answer.Items)+len(answer.Buckets)+len(answer.Parts)+len(answer.Want) > 0
 }
 
+// Pauses before maps that differ are compared part by part.
+const (
+	quietFor    = grclock.Second     // after a change: it may still be on its way
+	repairEvery = 2 * grclock.Second // however often there are changes
+)
+
+// mayRepair reports whether a difference is likely to last. Right after a change
+// maps differ for as long as its pushes take, and comparing them would cost far
+// more than the change.
+func (m *Map[V]) mayRepair(now grclock.Millis) bool {
+	return now-m.changedAt >= quietFor || now-m.repairedAt >= repairEvery
+}
+
 // listDifferent lists the keys of the parts whose digests differ.
 func (m *Map[V]) listDifferent(theirs []Digest, answer *Message[V]) {
 	var different [buckets]bool
--- a/transport/grnode/operators.go
+++ b/transport/grnode/operators.go
@@ -181,6 +181,11 @@
 		status.Preset = string(a.Preset.Name)
 	}
 	status.InFlight = r.InFlight()
+	for _, m := range r.Maps() {
+		status.Collections = append(status.Collections, grwire.CollectionWire{
+			Collection: string(m.Collection), Index: uint64(m.Snapshot.Index), Map: uint64(m.Snapshot.Map), Shards: len(m.Shards),
+		})
+	}
 	for i := range r.Services() {
 		leaf := r.Leaf(int32(i))
 		s := grwire.ServiceStatus{Service: string(r.Service(int32(i))), Waiting: leaf.Waiting()}
