--- /dev/null
+++ b/coordination/grspread/repair_test.go
@@ -0,0 +1,42 @@
+package grspread
+
+import (
+	"fmt"
+	"testing"
+
+	"geraniumrouter/state/grclock"
+)
+
+// exchange lets a message and its answers go to and fro until nothing is said.
+func exchange(now grclock.Millis, from, to *Map[int], message Message[int]) (steps int) {
+	for ok := true; ok; steps++ {
+		message, ok = to.Receive(now, message)
+		from, to = to, from
+	}
+	return steps
+}
+
+// TestRepair brings maps together that lost every push, in either direction.
+func TestRepair(t *testing.T) {
+	var a, b Map[int]
+	for i := range 300 {
+		a.Put(0, Item[int]{Key: Key(fmt.Sprint("a", i)), Version: 1, Value: i})
+		b.Put(0, Item[int]{Key: Key(fmt.Sprint("b", i)), Version: 1, Value: i})
+		a.Put(0, Item[int]{Key: Key(fmt.Sprint("c", i)), Version: Version(1 + i%3), Value: i % 3})
+		b.Put(0, Item[int]{Key: Key(fmt.Sprint("c", i)), Version: Version(1 + i%2), Value: i % 2})
+	}
+	now := grclock.Millis(0)
+	rounds := 0
+	for ; a.Digest() != b.Digest() && rounds < 10; rounds++ {
+		now += 2 * repairEvery
+		exchange(now, &a, &b, Message[int]{Digest: a.Digest()})
+	}
+	if a.Digest() != b.Digest() || a.Len() != 900 || b.Len() != 900 {
+		t.Errorf("%d and %d items after %d rounds, want 900", a.Len(), b.Len(), rounds)
+	}
+	a.All(func(item Item[int]) {
+		if other, _ := b.Get(item.Key); other != item {
+			t.Errorf("%v and %v", item, other)
+		}
+	})
+}
