--- a/cmd/geraniumrouter/caller.go
+++ b/cmd/geraniumrouter/caller.go
@@ -35,7 +35,7 @@
 	sub.String(&t.token, "", "token", "the operators' token; else from GERANIUMROUTER_TOKEN")
 	sub.String(&t.authority, "", "ca", "file of the authority of the port's certificate; turns TLS on")
 	sub.String(&t.certificate, "", "certificate", "file of the certificate to show")
-	sub.String(&t.key, "", "key", "file of its key")
+	sub.String(&t.key, "", "certificate-key", "file of its key")
 	sub.Bool(&t.asJSON, "", "json", "print JSON for programs")
 }
 
--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -142,6 +142,8 @@
 // endOf returns the honest end of a sub-request without an answer.
 func (l *Leaf) endOf(s *sub, otherwise DoneKind) DoneKind {
 	switch {
+	case s.Once && (s.started || s.active > 0):
+		return Unknown
 	case s.gone:
 		return SnapshotGone
 	case s.started, s.active > 0:
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -228,7 +228,7 @@
 		return false
 	}
 	s := &l.subs[index]
-	started = s.started || s.gone || s.active > 0
+	started = s.started || s.active > 0 || s.gone && !s.Once
 	l.cancelAttempts(index, out)
 	l.release(index)
 	l.dispatch(now, out)
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -190,7 +190,7 @@
 		q.started = true
 		r.merge(q, shard, done.Records)
 	case grleaf.SnapshotGone:
-		q.started = true
+		q.started = q.started || !q.once // A searcher without the snapshot starts nothing.
 		q.gone = true
 	case grleaf.Unknown:
 		q.started = true
--- a/standin/grstandupstream/searcher.go
+++ b/standin/grstandupstream/searcher.go
@@ -355,10 +355,8 @@
 	switch {
 	case ask.Index > h.newest[c], !known:
 		return "behind"
-	case ask.Index < h.oldest[c]:
+	case ask.Index < h.oldest[c], owners[[2]uint64{ask.From, ask.To}] != service:
 		return "gone"
-	case owners[[2]uint64{ask.From, ask.To}] != service:
-		return "failed"
 	}
 	return ""
 }
--- a/wholepath/kill_test.go
+++ b/wholepath/kill_test.go
@@ -17,6 +17,7 @@
 	"geraniumrouter/state/grclaimid"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
+	"geraniumrouter/state/grsnapshot"
 	"geraniumrouter/transport/grclient"
 )
 
@@ -27,6 +28,7 @@
 	f.checkAll()
 	t.Run("searchers killed", f.killSearchers)
 	t.Run("lost replies of the platform", f.loseReplies)
+	t.Run("snapshots change", f.changeSnapshots)
 	t.Run("rolling restart", f.rollingRestart)
 	t.Run("restart during an outage", f.restartDuringOutage)
 	t.Run("frozen entry", f.freezeEntry)
@@ -86,6 +88,63 @@
 	f.faults(grstandplatform.Faults{})
 }
 
+// changeSnapshots publishes index versions and shard maps while queries run:
+// each answer is whole and of one version.
+func (f *fleet) changeSnapshots(t *testing.T) {
+	f.t = t
+	ctx, stop := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			client := &grclient.Client{Clock: grclock.System(), Seeds: f.client.Seeds}
+			for ctx.Err() == nil {
+				answer, err := client.Query(context.Background(), grwire.QueryRequest{Collection: "dispatch", DeadlineMS: 5000})
+				if err != nil || answer.Outcome != "done" {
+					t.Errorf("query: %v, outcome %s, code %s", err, answer.Outcome, answer.Code)
+					continue
+				}
+				f.checkVersion("dispatch", answer.Snapshot.Index, answer)
+			}
+		}()
+	}
+	group := f.deployment.Group("dispatch-01")
+	for version := uint64(2); version <= 6; version++ {
+		m := group.Map(grsnapshot.Version(version), grsnapshot.Version(version), int(version))
+		f.publish(grwire.MapTo(m), version-1)
+		time.Sleep(150 * time.Millisecond)
+	}
+	f.eventually("last snapshot in use", func() bool {
+		answer := f.query("dispatch")
+		return answer.Snapshot != nil && answer.Snapshot.Index == 6
+	})
+	stop()
+	wait.Wait()
+	f.index["dispatch"] = 6
+}
+
+// publish lets the searchers hold a snapshot and then writes its map to the
+// platform, as the systems served do.
+func (f *fleet) publish(m grwire.MapWire, oldest uint64) {
+	f.t.Helper()
+	var ignored json.RawMessage
+	for _, domain := range f.deployment.Domains {
+		hold := grstandupstream.HoldRequest{Map: m, Oldest: oldest}
+		if !f.call(http.MethodPost, f.layout.ControlOf(f.deployment, string(domain)), grstandupstream.HoldPath, hold, &ignored) {
+			f.t.Fatal("the searchers do not take the snapshot")
+		}
+	}
+	key := grwire.ObjectsPath + "/" + grwire.MapPrefix + m.Collection
+	var object grwire.ObjectWire
+	if !f.call(http.MethodGet, f.layout.Platform(), key, nil, &object) {
+		f.t.Fatal("the map cannot be read")
+	}
+	if !f.call(http.MethodPut, f.layout.Platform(), fmt.Sprintf("%s?if_version=%d", key, object.Version), m, &ignored) {
+		f.t.Fatal("the map cannot be written")
+	}
+}
+
 // rollingRestart stops and starts each entry under load: no query fails and no
 // request is lost or doubled.
 func (f *fleet) rollingRestart(t *testing.T) {
--- a/wholepath/processes_test.go
+++ b/wholepath/processes_test.go
@@ -23,6 +23,7 @@
 	"geraniumrouter/standin/grstanddemo"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
+	"geraniumrouter/state/grsnapshot"
 	"geraniumrouter/transport/grclient"
 )
 
@@ -41,7 +42,8 @@
 	entries    [grstanddemo.Entries]*exec.Cmd
 	client     *grclient.Client
 	mu         sync.Mutex
-	requests   map[string]bool // answered as done
+	requests   map[string]bool   // answered as done
+	index      map[string]uint64 // index version of collections that are past the first
 }
 
 func startFleet(t *testing.T, d grstanddata.Deployment) *fleet {
@@ -53,6 +55,7 @@
 	f.build()
 	f.upstreams = make(map[grid.FailureDomain]*exec.Cmd)
 	f.requests = make(map[string]bool)
+	f.index = make(map[string]uint64)
 	port := fmt.Sprint(f.layout.Port)
 	f.platform = f.start("geraniumstandin", "platform", "--deployment", d.Name, "--port", port)
 	for _, domain := range d.Domains {
@@ -182,13 +185,21 @@
 		f.t.Errorf("%s: outcome %s, coverage %v, code %s", collection, a.Outcome, a.Coverage, a.Code)
 		return
 	}
-	want := grwire.RecordsTo(grstanddata.Records(grid.Collection(collection), 1, grstanddata.KeySpace))
+	f.checkVersion(collection, max(f.index[collection], 1), a)
+}
+
+// checkVersion compares the records with those of an index version.
+func (f *fleet) checkVersion(collection string, index uint64, a grwire.Answer) {
+	f.t.Helper()
+	want := grwire.RecordsTo(grstanddata.Records(grid.Collection(collection), grsnapshot.Version(index), grstanddata.KeySpace))
 	if len(want) != len(a.Records) {
-		f.t.Fatalf("%s: %d records, want %d", collection, len(a.Records), len(want))
+		f.t.Errorf("%s: %d records, want %d", collection, len(a.Records), len(want))
+		return
 	}
 	for i := range want {
 		if want[i] != a.Records[i] {
-			f.t.Fatalf("%s: record %d is %v, want %v", collection, i, a.Records[i], want[i])
+			f.t.Errorf("%s: record %d is %v, want %v", collection, i, a.Records[i], want[i])
+			return
 		}
 	}
 }
