Tell others of the end only after connections are closed; preset diff

Cause: read as a newcomer: at the end of a drain the others were told that the instance is gone before the router had closed its connections, and they take its part of the limits then; a field of the control duty was never read; codes came without a text; revisions could not be compared.

Ruled out: a pause before telling, which proves nothing.

Change: the router reports that no connection is left, then Gone is said.

--- a/cmd/geraniumrouter/operator.go
+++ b/cmd/geraniumrouter/operator.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
@@ -66,7 +67,7 @@
 		fmt.Printf("  collection %-16s index %d, shard map %d, %d shards\n", c.Collection, c.Index, c.Map, c.Shards)
 	}
 	for _, p := range s.Peers {
-		fmt.Printf("  peer %-12s %-8s generation %d\n", p.Instance, p.State, p.Generation)
+		fmt.Printf("  peer %-12s %-10s %s\n", p.Instance, p.Domain, p.State)
 	}
 	for _, v := range s.Services {
 		fmt.Printf("  service %-18s %d waiting\n", v.Service, v.Waiting)
@@ -84,15 +85,19 @@
 	show := newSub("show", "Show the revisions of a preset.")
 	put := newSub("put", "Store a new revision from a JSON file.")
 	change := newSub("switch", "Put a revision in force; name an earlier one to roll back.")
+	diff := newSub("diff", "Show what changed between two revisions of a preset.")
 	status := newSub("status", "Show which generation is in force on which instance.")
-	for _, sub := range []*flaggy.Subcommand{list, show, put, change, status} {
+	for _, sub := range []*flaggy.Subcommand{list, show, put, change, diff, status} {
 		t.attach(sub, operatorsUsage)
 		group.AttachSubcommand(sub, 1)
 	}
 	var name, file, operation string
-	var revision uint64
+	var revision, from, to uint64
 	follows := int64(-1)
 	show.AddPositionalValue(&name, "NAME", 1, true, "the preset")
+	diff.AddPositionalValue(&name, "NAME", 1, true, "the preset")
+	diff.UInt64(&from, "", "from", "the earlier revision; 0 for the one before the later")
+	diff.UInt64(&to, "", "to", "the later revision; 0 for the newest")
 	put.AddPositionalValue(&file, "FILE", 1, true, "the preset as JSON")
 	change.AddPositionalValue(&name, "NAME", 1, true, "the preset")
 	change.UInt64(&revision, "", "revision", "the revision; 0 for the newest")
@@ -105,6 +110,7 @@
 		{show, func() int { return showPreset(&t, name) }},
 		{put, func() int { return putPreset(&t, file, operationOr(operation), follows) }},
 		{change, func() int { return switchPreset(&t, name, revision, operationOr(operation), follows) }},
+		{diff, func() int { return diffPreset(&t, name, from, to) }},
 		{status, func() int { return presetStatus(&t) }},
 	}
 }
@@ -150,6 +156,46 @@
 	return printJSON(reply)
 }
 
+// diffPreset prints the lines of two revisions that differ.
+func diffPreset(t *target, name string, from, to uint64) int {
+	var reply grwire.PresetHistory
+	if err := t.ask(http.MethodGet, grwire.PresetsPath+"/"+name, nil, &reply); err != nil {
+		return failed(err)
+	}
+	if to == 0 {
+		to = reply.Revisions[len(reply.Revisions)-1].Preset.Revision
+	}
+	if from == 0 {
+		from = to - 1
+	}
+	a, b := revisionLines(&reply, from), revisionLines(&reply, to)
+	if a == nil || b == nil {
+		return failed(grfault.New(grfault.UnknownPreset, "preset %s has no revisions %d and %d", name, from, to))
+	}
+	for _, line := range missingFrom(a, b) {
+		fmt.Println("-", line)
+	}
+	for _, line := range missingFrom(b, a) {
+		fmt.Println("+", line)
+	}
+	return exitDone
+}
+
+// revisionLines returns a revision as a line for each value, or nil.
+func revisionLines(h *grwire.PresetHistory, revision uint64) []string {
+	for _, r := range h.Revisions {
+		if r.Preset.Revision == revision {
+			return r.Preset.Lines()
+		}
+	}
+	return nil
+}
+
+// missingFrom returns the lines of a that b does not have.
+func missingFrom(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(line string) bool { return slices.Contains(b, line) })
+}
+
 func putPreset(t *target, file, operation string, follows int64) int {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -78,7 +78,6 @@
 	items      grspread.Map[Value] // kept equal on all instances
 	shares     grspread.Map[Value] // kept equal on the instances of one group
 	register   grpreset.Register
-	heard      map[grid.InstanceID]grclock.Millis // last message, of neighbours
 	loads      map[grid.InstanceID]int
 	asked      map[grid.InstanceID]grclock.Millis // first heartbeat without an answer
 	holding    grshare.Holding
@@ -100,7 +99,6 @@
 
 // Init starts the instance; it must be called once before use.
 func (c *Control) Init(now grclock.Millis, out *Out) {
-	c.heard = make(map[grid.InstanceID]grclock.Millis)
 	c.asked = make(map[grid.InstanceID]grclock.Millis)
 	c.loads = make(map[grid.InstanceID]int)
 	c.listed = make(map[grid.SearcherID]int)
@@ -120,7 +118,7 @@
 // Receive takes a message of a peer and returns the answer to it; ok is false
 // when there is none.
 func (c *Control) Receive(now grclock.Millis, got Message, out *Out) (answer Message, ok bool) {
-	c.hear(now, got.From.ID, got.Load)
+	c.hear(got.From.ID, got.Load)
 	c.with(out, func() {
 		answer = Message{From: c.Self.Member, Load: c.Load}
 		answer.Body, ok = c.items.Receive(now, got.Body)
@@ -135,7 +133,7 @@
 }
 
 // Answered notes that a peer took a message and had nothing to say.
-func (c *Control) Answered(now grclock.Millis, id grid.InstanceID) { c.hear(now, id, -1) }
+func (c *Control) Answered(id grid.InstanceID) { c.hear(id, -1) }
 
 // Refused notes that nothing listens at the peers' address where the run of a
 // member was known when a message to it was decided, which proves that this
--- a/coordination/grcontrol/heartbeat.go
+++ b/coordination/grcontrol/heartbeat.go
@@ -8,8 +8,7 @@
 )
 
 // hear notes a message of a member; load is -1 when it said none.
-func (c *Control) hear(now grclock.Millis, id grid.InstanceID, load int) {
-	c.heard[id] = now
+func (c *Control) hear(id grid.InstanceID, load int) {
 	delete(c.asked, id)
 	if load >= 0 {
 		c.loads[id] = load
--- a/protocol/grwire/caller.go
+++ b/protocol/grwire/caller.go
@@ -101,6 +101,7 @@
 	a := Answer{
 		Outcome:    result.Outcome.String(),
 		Code:       string(result.Code),
+		Text:       grfault.Text(result.Code),
 		Coverage:   result.Coverage,
 		Generation: uint64(result.Generation),
 		Records:    RecordsTo(result.Records),
--- a/protocol/grwire/preset.go
+++ b/protocol/grwire/preset.go
@@ -1,6 +1,9 @@
 package grwire
 
 import (
+	"fmt"
+	"slices"
+
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
@@ -28,6 +31,34 @@
 	SearchersAtRest []string             `json:"searchers_in_maintenance,omitempty"`
 }
 
+// Lines returns the preset as a line for each value, with its section.
+func (w *PresetWire) Lines() []string {
+	lines := []string{
+		fmt.Sprint("revision = ", w.Revision),
+		fmt.Sprint("hedge_budget = ", w.HedgeBudget),
+		fmt.Sprint("retry_budget = ", w.RetryBudget),
+		fmt.Sprint("max_queries = ", w.MaxQueries),
+		fmt.Sprint("max_queue = ", w.MaxQueue),
+		fmt.Sprint("services_in_maintenance = ", w.Maintenance),
+		fmt.Sprint("searchers_in_maintenance = ", w.SearchersAtRest),
+	}
+	lines = append(lines, w.Default.lines("default")...)
+	for name, terms := range w.Collections {
+		lines = append(lines, terms.lines(name)...)
+	}
+	slices.Sort(lines[1:])
+	return lines
+}
+
+func (w *TermsWire) lines(section string) []string {
+	return []string{
+		fmt.Sprintf("[%s] deadline_ms = %d", section, w.DeadlineMS),
+		fmt.Sprintf("[%s] min_coverage = %v", section, w.MinCoverage),
+		fmt.Sprintf("[%s] partial = %s", section, w.Partial),
+		fmt.Sprintf("[%s] weight = %d", section, w.Weight),
+	}
+}
+
 // ActiveWire is an accepted switch.
 type ActiveWire struct {
 	Generation uint64     `json:"generation"`
--- a/standin/grstandfleet/fleet.go
+++ b/standin/grstandfleet/fleet.go
@@ -360,7 +360,7 @@
 		return
 	}
 	m.deliver(func() {
-		m.control.Answered(f.Now, from.id)
+		m.control.Answered(from.id)
 		if !ok {
 			return
 		}
--- a/state/grfault/fault.go
+++ b/state/grfault/fault.go
@@ -47,3 +47,19 @@
 
 // Error returns the code and the text.
 func (f *Fault) Error() string { return string(f.Code) + ": " + f.Text }
+
+// texts says in a sentence what the codes of results mean.
+var texts = map[Code]string{
+	UnknownCollection: "there is no such collection",
+	BadKey:            "the key is outside of the collection",
+	Overloaded:        "it could not be answered in time under the present load",
+	DeadlineTooShort:  "the deadline leaves no time to answer",
+	NotReady:          "no preset is known yet",
+	CoverageTooLow:    "less was found than the preset asks for",
+	NoSearcher:        "no searcher took it",
+	Lost:              "it may have run; no answer came",
+}
+
+// Text describes a code for people; "" for codes that come with texts of their
+// own.
+func Text(code Code) string { return texts[code] }
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -156,6 +156,8 @@
 		c.state.Registered(now, e.members, &c.out)
 	case e.leaving != nil:
 		c.state.MarkLeaving(now, e.leaving.id, e.leaving.run, &c.out)
+	case e.lowered == allClosed:
+		c.state.Leave(now, true, &c.out)
 	case e.lowered > 0:
 		c.state.Lowered(now, e.lowered, &c.out)
 	case e.drain:
@@ -196,7 +198,7 @@
 		c.state.Refused(now, e.To.To, e.To.Run, &c.out)
 	case grpeer.Answered:
 		got := grwire.PeerMessageFrom(&e.Answer)
-		c.state.Answered(now, got.From.ID)
+		c.state.Answered(got.From.ID)
 		if e.Answer.Empty {
 			return
 		}
--- a/transport/grnode/drain.go
+++ b/transport/grnode/drain.go
@@ -24,6 +24,10 @@
 // flushFor bounds the wait for outcomes that the platform does not take.
 const flushFor = 5 * grclock.Second
 
+// allClosed stands for the divisor by which no connection is left. The others
+// are told only then that this instance is gone, for they take its part.
+const allClosed = 1 << 30
+
 func (c *control) startDrain(now grclock.Millis) {
 	if c.drain.Phase() != grdrain.Serving {
 		return
@@ -48,7 +52,7 @@
 	case grdrain.Closing:
 		c.released = true
 		c.refreshServices()
-		c.state.Leave(now, true, &c.out)
+		c.node.post(event{kind: lowerEvent, divisor: allClosed})
 	case grdrain.Ended:
 		c.node.group.Stop()
 	}
