Copy answers of peers when whole; end at once what nobody can be asked

Cause: under the race detector net/rpc wrote an answer after the call had timed out, while it was read; and with all searchers of a service out of reach a query waited for its deadline (338 ms) before its partial answer.

Ruled out: a lock, since the late answer is of no use.

Change: answers are copied after their call; a service whose searchers all refuse three openings in a row ends its sub-requests as not started; a test runs the whole deployment in one process, also under the race detector.

--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -8,12 +8,14 @@
 	total   int      // opening, idle and busy
 	opening int
 	retryAt grclock.Millis // no opening before this time
+	refused int            // openings in a row that failed
 }
 
 // ConnOpened notes that a connection is ready.
 func (l *Leaf) ConnOpened(now grclock.Millis, searcher int32, conn ConnID, out *Out) {
 	r := &l.replicas[searcher]
 	r.conns.opening--
+	r.conns.refused = 0
 	r.conns.idle = append(r.conns.idle, conn)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
@@ -25,6 +27,7 @@
 	r.conns.opening--
 	r.conns.total--
 	r.conns.retryAt = now + l.Policy.ReopenInterval
+	r.conns.refused++
 	l.noteFailure(now, r)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
@@ -71,6 +74,22 @@
 	return false
 }
 
+// refusals is the number of openings in a row that must fail before a searcher
+// counts as out of reach.
+const refusals = 3
+
+// unreachable reports whether no searcher is left to wait for: none may get
+// work, or none has a connection and opening them has failed again and again.
+func (l *Leaf) unreachable() bool {
+	for i := range l.replicas {
+		r := &l.replicas[i]
+		if r.usable() && (r.conns.total > r.conns.opening || r.conns.refused < refusals) {
+			return false
+		}
+	}
+	return len(l.replicas) > 0
+}
+
 // Draw takes the idle connection that was unused for longest, for a check by
 // the daemon; ReturnConn gives it back. ok is false when none is idle.
 func (l *Leaf) Draw(searcher int32) (conn ConnID, ok bool) {
--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -31,6 +31,10 @@
 			continue
 		}
 		r := l.choose(now, s)
+		if r < 0 && s.active == 0 && l.unreachable() {
+			l.finish(index, l.endOf(s, NotStarted), nil, out)
+			continue
+		}
 		if r < 0 {
 			l.wakeAt(s.Deadline)
 			l.wakeAfterRest(now)
--- /dev/null
+++ b/coordination/grleaf/leaf_test.go
@@ -0,0 +1,59 @@
+package grleaf
+
+import (
+	"testing"
+
+	"geraniumrouter/state/grclock"
+)
+
+// TestUnreachable ends sub-requests at once when no searcher can be reached, so
+// that an honest partial answer does not wait for the deadline.
+func TestUnreachable(t *testing.T) {
+	var out Out
+	leaf := &Leaf{Policy: DefaultPolicy()}
+	leaf.Init()
+	leaf.SetSearchers(0, []Searcher{{ID: "a/1", Slots: 2, Share: 2}}, &out)
+	now := grclock.Millis(0)
+	for range refusals {
+		opening := len(out.Actions)
+		out.Reset()
+		for range opening {
+			leaf.ConnFailed(now, 0, &out)
+		}
+		now += leaf.Policy.ReopenInterval
+		leaf.Tick(now, &out)
+	}
+	out.Reset()
+	leaf.Submit(now, Sub{Key: SubKey{Query: 1}, Deadline: now + 1000}, &out)
+	if len(out.Done) != 1 || out.Done[0].Kind != NotStarted {
+		t.Fatalf("done %+v", out.Done)
+	}
+	out.Reset()
+	leaf.ConnOpened(now, 0, 1, &out)
+	leaf.Submit(now, Sub{Key: SubKey{Query: 2}, Deadline: now + 1000}, &out)
+	if len(out.Done) != 0 || len(out.Actions) == 0 {
+		t.Errorf("after a connection stands: done %+v, actions %+v", out.Done, out.Actions)
+	}
+}
+
+// TestEjectionKeepsHalf never takes more than half of a service out.
+func TestEjectionKeepsHalf(t *testing.T) {
+	var out Out
+	leaf := &Leaf{Policy: DefaultPolicy()}
+	leaf.Init()
+	leaf.SetSearchers(0, []Searcher{{ID: "a/1"}, {ID: "a/2"}, {ID: "a/3"}, {ID: "a/4"}}, &out)
+	for i := range leaf.replicas {
+		for range 3 * leaf.Policy.EjectAfter {
+			leaf.noteFailure(10, &leaf.replicas[i])
+		}
+	}
+	outside := 0
+	for i := range leaf.replicas {
+		if leaf.replicas[i].outUntil > 10 {
+			outside++
+		}
+	}
+	if outside != 2 {
+		t.Errorf("%d of 4 searchers are out, want 2", outside)
+	}
+}
--- /dev/null
+++ b/standin/grstanddemo/demo_test.go
@@ -0,0 +1,27 @@
+package grstanddemo
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"geraniumrouter/standin/grstanddata"
+	"geraniumrouter/state/grclock"
+)
+
+// TestShow runs the demonstration of both deployments.
+func TestShow(t *testing.T) {
+	for i, d := range []grstanddata.Deployment{grstanddata.Kinoko(), grstanddata.Restrepo()} {
+		cluster := &Cluster{Deployment: d, Port: 29000 + 300*i, Service50: 4, Clock: grclock.System()}
+		ctx, stop := context.WithCancel(context.Background())
+		cluster.Start(ctx)
+		var table strings.Builder
+		if err := Show(ctx, cluster, &table); err != nil {
+			t.Errorf("%s: %v\n%s", d.Name, err, table.String())
+		}
+		if err := cluster.Stop(); err != nil {
+			t.Errorf("%s: %v", d.Name, err)
+		}
+		stop()
+	}
+}
--- a/transport/grpeer/peer.go
+++ b/transport/grpeer/peer.go
@@ -180,8 +180,11 @@
 		return status, err
 	}
 	defer client.Close()
-	err = l.call(ctx, client, address, "Status", grwire.StatusAsk{Trace: grtrace.Carry(ctx)}, &status)
-	return status, err
+	var answer grwire.InstanceStatus
+	if err := l.call(ctx, client, address, "Status", grwire.StatusAsk{Trace: grtrace.Carry(ctx)}, &answer); err != nil {
+		return status, err
+	}
+	return answer, nil
 }
 
 func (l *Links) dial(ctx context.Context, address grid.Address) (*rpc.Client, error) {
@@ -248,12 +251,15 @@
 		}
 		k.client = client
 	}
-	err := k.links.call(ctx, k.client, k.address, "Deliver", grwire.PeerMessageTo(&o.Message), &e.Answer)
+	// After a timeout net/rpc may still write the answer, so it is copied only
+	// when it is whole.
+	var answer grwire.PeerMessage
+	err := k.links.call(ctx, k.client, k.address, "Deliver", grwire.PeerMessageTo(&o.Message), &answer)
 	if err != nil {
 		k.drop()
 		return e
 	}
-	e.Kind = Answered
+	e.Kind, e.Answer = Answered, answer
 	return e
 }
 
