Cancel queries whose caller has gone

Cause: a query whose caller had closed its connection went on to its deadline and used slots for nobody.

Ruled out: cancelling requests that are not idempotent; their outcome is to be recorded.

Change: the end of the caller's context cancels the query and its attempts.

--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -75,6 +75,16 @@
 	return q.id
 }
 
+// Cancel ends a query whose caller has gone, so that its sub-requests do not use
+// slots any more. A request that is not idempotent goes on: its outcome is
+// recorded.
+func (r *Router) Cancel(now grclock.Millis, id grid.QueryID, out *Out) {
+	if q := r.queries[id]; q != nil && !q.once {
+		r.Counters.Cancelled++
+		r.finish(now, q, out)
+	}
+}
+
 // Describe returns the range and snapshot of a sub-request, for sending it.
 func (r *Router) Describe(key grleaf.SubKey) (shard grsnapshot.Range, snapshot grsnapshot.Snapshot, ok bool) {
 	q := r.queries[key.Query]
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -83,7 +83,7 @@
 // Counters count what the router did since it was made.
 type Counters struct {
 	Queries, Complete, Partial, NotRun, Unknown uint64
-	Reruns, Refused, Malformed                  uint64
+	Reruns, Refused, Malformed, Cancelled       uint64
 }
 
 // Add sums the counters of another router into c.
@@ -96,6 +96,7 @@
 	c.Reruns += o.Reruns
 	c.Refused += o.Refused
 	c.Malformed += o.Malformed
+	c.Cancelled += o.Cancelled
 }
 
 // Router runs the queries of one instance. Set the exported fields before
--- a/transport/grnode/callers.go
+++ b/transport/grnode/callers.go
@@ -63,18 +63,25 @@
 	return fault
 }
 
-// ask hands a query or request to the router's duty and waits for its end.
+// ask hands a query or request to the router's duty and waits for its end. When
+// the caller goes before, a query is cancelled.
 func (n *Node) ask(kind eventKind, a ask) grrouter.Result {
 	result := make(chan grrouter.Result, 1)
-	a.result = result
+	a.result, a.number = result, n.tokens.Add(1)
 	if !n.events.Offer(event{kind: kind, ask: a}) {
 		return grrouter.Result{Outcome: grrouter.NotRun, Code: grfault.Overloaded}
 	}
-	select {
-	case r := <-result:
-		return r
-	case <-n.group.Context().Done():
-		return grrouter.Result{Outcome: grrouter.Unknown, Code: grfault.Lost}
+	gone := a.ctx.Done()
+	for {
+		select {
+		case r := <-result:
+			return r
+		case <-gone:
+			n.post(event{kind: cancelEvent, number: a.number})
+			gone = nil
+		case <-n.group.Context().Done():
+			return grrouter.Result{Outcome: grrouter.Unknown, Code: grfault.Lost}
+		}
 	}
 }
 
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -20,6 +20,7 @@
 const (
 	queryEvent eventKind = iota
 	requestEvent
+	cancelEvent
 	upstreamEvent
 	mapEvent
 	serviceEvent
@@ -32,6 +33,7 @@
 type event struct {
 	kind      eventKind
 	ask       ask
+	number    uint64 // of the ask, for cancelEvent
 	upstream  grupstream.Event
 	shardMap  *grsnapshot.Map
 	service   grid.Service
@@ -45,6 +47,7 @@
 // ask is a query or request with the place for its result.
 type ask struct {
 	ctx        context.Context
+	number     uint64 // tells asks apart
 	collection grid.Collection
 	key        grsnapshot.Key
 	text       string
@@ -58,6 +61,7 @@
 	node      *Node
 	router    *grrouter.Router
 	asks      map[grid.QueryID]ask
+	numbers   map[uint64]grid.QueryID // of the asks
 	addresses map[grid.SearcherID]grid.Address
 	out       grrouter.Out
 	unsent    []unsent
@@ -78,6 +82,7 @@
 
 func (l *loop) init() {
 	l.asks = make(map[grid.QueryID]ask)
+	l.numbers = make(map[uint64]grid.QueryID)
 	l.addresses = make(map[grid.SearcherID]grid.Address)
 	l.counts.register(l.node.Metrics)
 }
@@ -112,12 +117,12 @@
 func (l *loop) handle(now grclock.Millis, e *event) {
 	switch e.kind {
 	case queryEvent:
-		id := l.router.StartQuery(now, grrouter.Query{Collection: e.ask.collection, Deadline: e.ask.deadline}, &l.out)
-		l.asks[id] = e.ask
+		l.take(e.ask, l.router.StartQuery(now, grrouter.Query{Collection: e.ask.collection, Deadline: e.ask.deadline}, &l.out))
 	case requestEvent:
 		request := grrouter.Request{Collection: e.ask.collection, Key: e.ask.key, Deadline: e.ask.deadline}
-		id := l.router.StartRequest(now, request, &l.out)
-		l.asks[id] = e.ask
+		l.take(e.ask, l.router.StartRequest(now, request, &l.out))
+	case cancelEvent:
+		l.router.Cancel(now, l.numbers[e.number], &l.out)
 	case upstreamEvent:
 		l.upstream(now, &e.upstream)
 	case mapEvent:
@@ -135,6 +140,11 @@
 	l.reportLowered()
 }
 
+func (l *loop) take(a ask, id grid.QueryID) {
+	l.asks[id] = a
+	l.numbers[a.number] = id
+}
+
 // reportLowered tells the control duty when no more connections are held than
 // the lowered share allows.
 func (l *loop) reportLowered() {
@@ -245,6 +255,7 @@
 func (l *loop) deliver(result *grrouter.Result) {
 	if ask, ok := l.asks[result.ID]; ok {
 		delete(l.asks, result.ID)
+		delete(l.numbers, ask.number)
 		ask.result <- *result
 	}
 }
@@ -278,6 +289,7 @@
 		"queries_unknown":       r.Counters.Unknown,
 		"queries_refused":       r.Counters.Refused,
 		"queries_rerun":         r.Counters.Reruns,
+		"queries_cancelled":     r.Counters.Cancelled,
 		"answers_malformed":     r.Counters.Malformed,
 		"subrequests_first":     sum.First,
 		"subrequests_hedged":    sum.Hedges,
