Pause before connecting again to a searcher that drops connections at once

Cause: a searcher that takes a connection and closes it was connected to again without a pause: 20,002 openings in 10 s in a test of one searcher. Its service never counted as out of reach, and a query with 20 s waited all of them.

Ruled out: counting openings alone, since these succeed.

--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -8,14 +8,13 @@
 	total   int      // opening, idle and busy
 	opening int
 	retryAt grclock.Millis // no opening before this time
-	refused int            // openings in a row that failed
+	refused int            // openings that failed and connections that broke since the last answer
 }
 
 // ConnOpened notes that a connection is ready.
 func (l *Leaf) ConnOpened(now grclock.Millis, searcher int32, conn ConnID, out *Out) {
 	r := &l.replicas[searcher]
 	r.conns.opening--
-	r.conns.refused = 0
 	r.conns.idle = append(r.conns.idle, conn)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
@@ -26,8 +25,7 @@
 	r := &l.replicas[searcher]
 	r.conns.opening--
 	r.conns.total--
-	r.conns.retryAt = now + l.Policy.ReopenInterval
-	r.conns.refused++
+	l.noteBroken(now, r)
 	l.noteFailure(now, r)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
@@ -42,6 +40,7 @@
 			r.conns.idle = append(r.conns.idle[:i], r.conns.idle[i+1:]...)
 			r.conns.total--
 			l.Counters.ConnsClosed++
+			l.noteBroken(now, r)
 			l.act(out, CloseConn, searcher, conn, 0, SubKey{}, 0)
 			break
 		}
@@ -74,12 +73,13 @@
 	return false
 }
 
-// refusals is the number of openings in a row that must fail before a searcher
+// refusals is the number of openings that must fail, or connections that must
+// break, without an answer between them before a searcher without a connection
 // counts as out of reach.
 const refusals = 3
 
 // unreachable reports whether no searcher is left to wait for: none may get
-// work, or none has a connection and opening them has failed again and again.
+// work, or none has a connection and all are out of reach.
 func (l *Leaf) unreachable() bool {
 	for i := range l.replicas {
 		r := &l.replicas[i]
@@ -105,14 +105,24 @@
 // ReturnConn gives back a connection drawn before; healthy is false when it
 // must be replaced, and its close is then among the actions.
 func (l *Leaf) ReturnConn(now grclock.Millis, searcher int32, conn ConnID, healthy bool, out *Out) {
-	l.giveBack(searcher, conn, healthy, out)
+	l.giveBack(now, searcher, conn, healthy, out)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
 }
 
+// noteBroken pauses the opening of connections to a searcher that broke one or
+// let none be opened; it may take connections and drop them at once.
+func (l *Leaf) noteBroken(now grclock.Millis, r *replica) {
+	r.conns.refused++
+	r.conns.retryAt = now + l.Policy.ReopenInterval
+}
+
 // giveBack returns a busy connection to the pool or closes it.
-func (l *Leaf) giveBack(searcher int32, conn ConnID, healthy bool, out *Out) {
+func (l *Leaf) giveBack(now grclock.Millis, searcher int32, conn ConnID, healthy bool, out *Out) {
 	r := &l.replicas[searcher]
+	if !healthy {
+		l.noteBroken(now, r)
+	}
 	if healthy && r.usable() && r.conns.total <= r.Share {
 		r.conns.idle = append(r.conns.idle, conn)
 		return
--- a/coordination/grleaf/leaf_test.go
+++ b/coordination/grleaf/leaf_test.go
@@ -57,3 +57,28 @@
 		t.Errorf("%d of 4 searchers are out, want 2", outside)
 	}
 }
+
+// TestDroppedAtOnce pauses before it opens connections again to a searcher that
+// takes them and drops them at once.
+func TestDroppedAtOnce(t *testing.T) {
+	var out Out
+	leaf := &Leaf{Policy: DefaultPolicy()}
+	leaf.Init()
+	leaf.SetSearchers(0, []Searcher{{ID: "a/1", Slots: 2, Share: 2}}, &out)
+	const span = 10 * grclock.Second
+	for now := grclock.Millis(0); now < span; now++ {
+		actions := out.Actions
+		out = Out{}
+		for _, a := range actions {
+			if a.Kind == OpenConn {
+				leaf.ConnOpened(now, 0, a.Conn, &out)
+				leaf.ConnLost(now, 0, a.Conn, &out)
+			}
+		}
+		leaf.Tick(now, &out)
+	}
+	most := uint64(2 * (span/leaf.Policy.ReopenInterval + 1))
+	if leaf.Counters.ConnsOpened > most {
+		t.Errorf("%d connections were opened in %d ms, want at most %d", leaf.Counters.ConnsOpened, span, most)
+	}
+}
--- a/coordination/grleaf/reply.go
+++ b/coordination/grleaf/reply.go
@@ -30,6 +30,9 @@
 func (l *Leaf) settleReplica(now grclock.Millis, a *attempt, reply Reply, out *Out) {
 	r := &l.replicas[a.replica]
 	r.busy--
+	if reply.KeepConn {
+		r.conns.refused = 0
+	}
 	l.noteLoad(now, r, reply.Load)
 	span := now - a.sentAt
 	if reply.Kind == OK || a.cancelled {
@@ -57,7 +60,7 @@
 		l.noteFailure(now, r)
 		l.rest(now, r)
 	}
-	l.giveBack(a.replica, a.conn, reply.KeepConn, out)
+	l.giveBack(now, a.replica, a.conn, reply.KeepConn, out)
 	l.openWanted(now, a.replica, out)
 }
 
--- a/standin/grstanddemo/cluster.go
+++ b/standin/grstanddemo/cluster.go
@@ -46,6 +46,7 @@
 	Deployment grstanddata.Deployment
 	Port       int // first of the ports used
 	Service50  grclock.Millis
+	Patience   grclock.Millis // longest time of a query in place of the presets'; 0 for theirs
 	Log        *zap.Logger
 	Clock      grclock.Clock
 	Platform   *grstandplatform.Platform
--- a/standin/grstanddemo/presets.go
+++ b/standin/grstanddemo/presets.go
@@ -29,3 +29,17 @@
 	}
 	return p
 }
+
+// preset returns the example preset, with the cluster's patience.
+func (c *Cluster) preset(name string) grwire.PresetWire {
+	p := Preset(c.Deployment, name)
+	if c.Patience == 0 {
+		return p
+	}
+	p.Default.DeadlineMS = int64(c.Patience)
+	for collection, terms := range p.Collections {
+		terms.DeadlineMS = int64(c.Patience)
+		p.Collections[collection] = terms
+	}
+	return p
+}
