Prefer another failure domain for second copies

Cause: a second copy could go to the failure domain of the first, whose trouble may be what makes it late.

Ruled out: forbidding it, which leaves no copy where all searchers are in one.

Change: searchers in the domain of a copy in flight count 1.5 times as slow.

--- a/coordination/grleaf/leaf_test.go
+++ b/coordination/grleaf/leaf_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/state/grclock"
 )
 
@@ -82,3 +83,32 @@
 		t.Errorf("%d connections were opened in %d ms, want at most %d", leaf.Counters.ConnsOpened, span, most)
 	}
 }
+
+// TestHedgeLeavesDomain sends the second copy to another failure domain.
+func TestHedgeLeavesDomain(t *testing.T) {
+	for seed := range uint64(50) {
+		var out Out
+		leaf := &Leaf{Policy: DefaultPolicy()}
+		leaf.Random.State = seed
+		leaf.Hedges = &grstat.Budget{Reserve: 9}
+		leaf.Hedges.Fill()
+		leaf.Init()
+		leaf.SetSearchers(0, []Searcher{
+			{ID: "a/1", Domain: "d1", Slots: 2, Share: 1}, {ID: "a/2", Domain: "d1", Slots: 2, Share: 1}, {ID: "a/3", Domain: "d2", Slots: 2, Share: 1},
+		}, &out)
+		opening := out.Actions
+		out = Out{}
+		for _, a := range opening {
+			leaf.ConnOpened(0, a.Searcher, a.Conn, &out)
+		}
+		leaf.Submit(0, Sub{Key: SubKey{Query: 1}, Deadline: 1000}, &out)
+		leaf.Tick(coldHedge, &out)
+		if len(out.Actions) != 2 {
+			t.Fatalf("seed %d: actions %+v", seed, out.Actions)
+		}
+		first, second := leaf.SearcherAt(out.Actions[0].Searcher), leaf.SearcherAt(out.Actions[1].Searcher)
+		if first.Domain == second.Domain {
+			t.Errorf("seed %d: both copies are in %s", seed, first.Domain)
+		}
+	}
+}
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -104,6 +104,9 @@
 			continue
 		}
 		score := l.score(now, r, i)
+		if l.sharesDomain(s, r) {
+			score *= domainPenalty
+		}
 		if s.tried&(1<<(uint(i)%64)) != 0 {
 			score += triedPenalty
 		}
@@ -117,6 +120,24 @@
 // triedPenalty outweighs every score, so that untried searchers go first.
 const triedPenalty = 1e12
 
+// domainPenalty makes a second copy prefer another failure domain than that of
+// the first, unless the searchers there are clearly slower.
+const domainPenalty = 1.5
+
+// sharesDomain reports whether a copy in flight is in the searcher's failure
+// domain.
+func (l *Leaf) sharesDomain(s *sub, r *replica) bool {
+	if s.active == 0 || r.Domain == "" {
+		return false
+	}
+	for _, id := range s.attempts[:s.sent] {
+		if a := l.find(id); a != nil && !a.cancelled && l.replicas[a.replica].Domain == r.Domain {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Leaf) hasRoom(now grclock.Millis, r *replica) bool {
 	if !r.usable() || len(r.conns.idle) == 0 {
 		return false
