Make one piece of what stood twice on connections and cancellations

Cause: read as a whole, the change closed connections in three places, cancelled attempts in two, started the reader of a connection in two and named the ends that prove that nothing started in two; the control duty compared all members after every message; fields that nobody reads were left.

Ruled out: sharing the sums of counters and the exit codes of the commands, which are alike in shape only.

Change: closeConn, cancel, takeOldest, notStarted, Pool.connect; members are compared when they changed; dead fields and a dead function are gone.

--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -47,6 +47,7 @@
 	Active    *grpreset.Active  // a preset that is in force from now on
 	Maps      []*grsnapshot.Map // shard maps that are new
 	Searchers bool              // the searchers or shares changed
+	Members   bool              // the members or their states changed
 }
 
 // Reset empties the lists.
@@ -244,7 +245,7 @@
 	case SearcherKind:
 		c.out.Searchers = true
 	case MemberKind:
-		c.stale, c.unreviewed = true, true
+		c.stale, c.unreviewed, c.out.Members = true, true, true
 		c.refute(now, item)
 	}
 }
--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -11,6 +11,14 @@
 	refused int            // openings that failed and connections that broke since the last answer
 }
 
+// takeOldest takes the idle connection that was unused for longest; there must
+// be one.
+func (p *pool) takeOldest() ConnID {
+	conn := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	return conn
+}
+
 // ConnOpened notes that a connection is ready.
 func (l *Leaf) ConnOpened(now grclock.Millis, searcher int32, conn ConnID, out *Out) {
 	r := &l.replicas[searcher]
@@ -38,10 +46,8 @@
 	for i, c := range r.conns.idle {
 		if c == conn {
 			r.conns.idle = append(r.conns.idle[:i], r.conns.idle[i+1:]...)
-			r.conns.total--
-			l.Counters.ConnsClosed++
 			l.noteBroken(now, r)
-			l.act(out, CloseConn, searcher, conn, 0, SubKey{}, 0)
+			l.closeConn(searcher, conn, out)
 			break
 		}
 	}
@@ -97,9 +103,7 @@
 	if len(p.idle) == 0 {
 		return 0, false
 	}
-	conn = p.idle[0]
-	p.idle = append(p.idle[:0], p.idle[1:]...)
-	return conn, true
+	return p.takeOldest(), true
 }
 
 // ReturnConn gives back a connection drawn before; healthy is false when it
@@ -127,7 +131,12 @@
 		r.conns.idle = append(r.conns.idle, conn)
 		return
 	}
-	r.conns.total--
+	l.closeConn(searcher, conn, out)
+}
+
+// closeConn closes a connection that is out of the pool.
+func (l *Leaf) closeConn(searcher int32, conn ConnID, out *Out) {
+	l.replicas[searcher].conns.total--
 	l.Counters.ConnsClosed++
 	l.act(out, CloseConn, searcher, conn, 0, SubKey{}, 0)
 }
@@ -148,11 +157,7 @@
 		allowed = 0
 	}
 	for r.conns.total > allowed && len(r.conns.idle) > 0 {
-		conn := r.conns.idle[0]
-		r.conns.idle = append(r.conns.idle[:0], r.conns.idle[1:]...)
-		r.conns.total--
-		l.Counters.ConnsClosed++
-		l.act(out, CloseConn, i, conn, 0, SubKey{}, 0)
+		l.closeConn(i, r.conns.takeOldest(), out)
 	}
 }
 
--- a/coordination/grleaf/hedge.go
+++ b/coordination/grleaf/hedge.go
@@ -97,9 +97,7 @@
 	if l.Policy.AbandonRatio <= 0 || s.queued || s.active < 2 {
 		return
 	}
-	a.cancelled = true
-	l.Counters.Cancel++
-	l.act(out, CancelAttempt, a.replica, a.conn, a.id, s.Key, 0)
+	l.cancel(a, s.Key, out)
 }
 
 // hedgeRecheck is the pause before a second copy that the budget did not pay
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -63,6 +63,9 @@
 	LostReply                  // sent, and the connection ended without an answer
 )
 
+// notStarted reports whether the end proves that the searcher did not start.
+func (k ReplyKind) notStarted() bool { return k == Shed || k == Draining || k == Refused }
+
 // Load is what a searcher said of itself with a reply.
 type Load struct {
 	Known  bool
@@ -314,13 +317,17 @@
 	s := &l.subs[index]
 	for _, id := range s.attempts[:s.sent] {
 		if a := l.find(id); a != nil && !a.cancelled {
-			a.cancelled = true
-			l.Counters.Cancel++
-			l.act(out, CancelAttempt, a.replica, a.conn, a.id, s.Key, 0)
+			l.cancel(a, s.Key, out)
 		}
 	}
 }
 
+func (l *Leaf) cancel(a *attempt, key SubKey, out *Out) {
+	a.cancelled = true
+	l.Counters.Cancel++
+	l.act(out, CancelAttempt, a.replica, a.conn, a.id, key, 0)
+}
+
 func (l *Leaf) act(out *Out, kind ActionKind, r int32, conn ConnID, id grid.AttemptID, key SubKey, timeout grclock.Millis) {
 	out.Actions = append(out.Actions, Action{
 		Kind: kind, Searcher: r, ID: l.replicas[r].ID, Conn: conn, Attempt: id, Key: key, Timeout: timeout,
--- a/coordination/grleaf/reply.go
+++ b/coordination/grleaf/reply.go
@@ -67,7 +67,6 @@
 // settleSub takes what the reply means for the sub-request.
 func (l *Leaf) settleSub(now grclock.Millis, index int32, sentAt grclock.Millis, reply Reply, out *Out) {
 	s := &l.subs[index]
-	attempt := reply.Attempt
 	switch reply.Kind {
 	case OK:
 		l.noteAnswer(now, sentAt)
@@ -78,8 +77,9 @@
 		s.gone = true
 	case Failed, LostReply:
 		s.started = true
-	case Shed, Draining, Refused:
-		s.forget(attempt)
+	}
+	if reply.Kind.notStarted() {
+		s.forget(reply.Attempt)
 	}
 	if s.active > 0 || s.queued {
 		return
@@ -107,7 +107,7 @@
 // shed it bounds the extra work. Others are paid from the budget, and one that
 // is not idempotent is not sent again once it may have started.
 func (l *Leaf) mayRetry(s *sub, kind ReplyKind) bool {
-	if kind == Shed || kind == Draining || kind == Refused {
+	if kind.notStarted() {
 		return !s.started || !s.Once
 	}
 	if kind == Cancelled {
--- a/coordination/grspread/spread.go
+++ b/coordination/grspread/spread.go
@@ -54,7 +54,6 @@
 
 // Map holds the items of one instance. Set the exported fields before use.
 type Map[V any] struct {
-	Fanout  int                                         // others that a change is pushed to at once
 	Rounds  int                                         // pushes of a change with later messages
 	Changed func(now grclock.Millis, old, item Item[V]) // called for each change; may be nil
 
--- a/protocol/grwire/platform.go
+++ b/protocol/grwire/platform.go
@@ -39,16 +39,15 @@
 
 // InstanceWire is one instance in the platform's list.
 type InstanceWire struct {
-	ID         string `json:"id"`
-	Kind       string `json:"kind"` // "searcher" or "entry"
-	Service    string `json:"service,omitempty"`
-	Address    string `json:"address"`
-	Domain     string `json:"failure_domain"`
-	State      string `json:"state"` // "live" or "leaving"
-	Run        uint64 `json:"run"`
-	Slots      int    `json:"slots,omitempty"`
-	ConnLimit  int    `json:"conn_limit,omitempty"`
-	ConnectsMS int64  `json:"connects_ms,omitempty"`
+	ID        string `json:"id"`
+	Kind      string `json:"kind"` // "searcher" or "entry"
+	Service   string `json:"service,omitempty"`
+	Address   string `json:"address"`
+	Domain    string `json:"failure_domain"`
+	State     string `json:"state"` // "live" or "leaving"
+	Run       uint64 `json:"run"`
+	Slots     int    `json:"slots,omitempty"`
+	ConnLimit int    `json:"conn_limit,omitempty"`
 }
 
 // Kinds and states of instances.
--- a/standin/grstandfleet/fleet.go
+++ b/standin/grstandfleet/fleet.go
@@ -157,9 +157,6 @@
 	f.tasks.Push(task{f.Now + max(span, 0), f.seq, &do})
 }
 
-// After plans a step of a test.
-func (f *Fleet) After(span grclock.Millis, do func()) { f.after(span, do) }
-
 // Run lets the time pass.
 func (f *Fleet) Run(span grclock.Millis) {
 	end := f.Now + span
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -223,11 +223,14 @@
 		c.node.post(event{kind: presetEvent, active: *a})
 	}
 	refresh := c.out.Searchers || c.out.Active != nil
+	changed := c.out.Members
 	c.out.Reset()
 	if refresh {
 		c.refreshServices()
 	}
-	c.logStates()
+	if changed {
+		c.logStates()
+	}
 }
 
 // logStates writes a line for each member whose state changed.
--- a/transport/grupstream/control.go
+++ b/transport/grupstream/control.go
@@ -64,11 +64,7 @@
 
 func (c *control) keep(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if l, err := dial(ctx, c.address); err == nil {
-			c.pool.Group.Start(func(context.Context) error {
-				l.read()
-				return nil
-			})
+		if l, err := c.pool.connect(ctx, c.address); err == nil {
 			c.serve(ctx, l)
 			l.Close()
 		}
@@ -98,7 +94,7 @@
 			if err != nil {
 				return
 			}
-			c.pool.Report(Event{Kind: LoadRead, Searcher: c.id, Run: c.run, Healthy: true, Load: load})
+			c.pool.Report(Event{Kind: LoadRead, Searcher: c.id, Run: c.run, Load: load})
 			alarm.Reset(loadInterval)
 		}
 	}
--- a/transport/grupstream/link.go
+++ b/transport/grupstream/link.go
@@ -34,13 +34,19 @@
 	ended   chan struct{} // closed by the reader when the connection ends
 }
 
-func dial(ctx context.Context, address grid.Address) (*link, error) {
+// connect opens a connection and starts to read it.
+func (p *Pool) connect(ctx context.Context, address grid.Address) (*link, error) {
 	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
 	c, err := dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
-	return &link{Conn: c, reader: bufio.NewReader(c), answers: make(chan []byte, 1), ended: make(chan struct{})}, nil
+	l := &link{Conn: c, reader: bufio.NewReader(c), answers: make(chan []byte, 1), ended: make(chan struct{})}
+	p.Group.Start(func(context.Context) error {
+		l.read()
+		return nil
+	})
+	return l, nil
 }
 
 // Write counts the bytes that were handed to the network.
--- a/transport/grupstream/pool.go
+++ b/transport/grupstream/pool.go
@@ -150,7 +150,7 @@
 }
 
 func (c *conn) run(ctx context.Context) error {
-	l, err := dial(ctx, c.address)
+	l, err := c.pool.connect(ctx, c.address)
 	if err != nil {
 		c.pool.Report(Event{Kind: NotOpen, Place: c.place})
 		return nil
@@ -163,10 +163,6 @@
 		return nil
 	}
 	c.pool.Report(Event{Kind: Opened, Place: c.place})
-	c.pool.Group.Start(func(context.Context) error {
-		l.read()
-		return nil
-	})
 	for {
 		select {
 		case <-ctx.Done():
@@ -185,8 +181,8 @@
 
 func (c *conn) do(l *link, j job) {
 	if j.kind == jobCheck {
-		load, err := readLoad(l, c.pool.Silent)
-		c.pool.Report(Event{Kind: Checked, Place: c.place, Healthy: err == nil, Load: load})
+		_, err := readLoad(l, c.pool.Silent)
+		c.pool.Report(Event{Kind: Checked, Place: c.place, Healthy: err == nil})
 		return
 	}
 	reply := c.search(l, &j.sending)
