Routing table, opaque answers and terms of each sub-request

Cause: requests of the users' platform are named by host and path, go to one service, a weighted split or a set of shards, and carry terms of their own (time to a second copy, attempts, priority). Ruled out: a second dispatcher beside the leaf; it would decide twice on the same searchers. Change: package grtable (longest prefix by the depth of the path), granswer (an answer passed on whole); a sub-request carries priority, hedge age and attempts; attempts that nobody waits for are dropped after a span; a second copy without room no longer holds up the queue; the share of failed attempts weighs on the choice; a polite close of a connection does not pause new ones. Conclusion: the leaf takes both kinds of work.

--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -93,7 +93,7 @@
 			return false
 		}
 	}
-	return len(l.replicas) > 0
+	return l.listed
 }
 
 // Draw takes the idle connection that was unused for longest, for a check by
@@ -109,7 +109,10 @@
 // ReturnConn gives back a connection drawn before; healthy is false when it
 // must be replaced, and its close is then among the actions.
 func (l *Leaf) ReturnConn(now grclock.Millis, searcher int32, conn ConnID, healthy bool, out *Out) {
-	l.giveBack(now, searcher, conn, healthy, out)
+	if !healthy {
+		l.noteBroken(now, &l.replicas[searcher])
+	}
+	l.giveBack(searcher, conn, healthy, out)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
 }
@@ -122,11 +125,8 @@
 }
 
 // giveBack returns a busy connection to the pool or closes it.
-func (l *Leaf) giveBack(now grclock.Millis, searcher int32, conn ConnID, healthy bool, out *Out) {
+func (l *Leaf) giveBack(searcher int32, conn ConnID, healthy bool, out *Out) {
 	r := &l.replicas[searcher]
-	if !healthy {
-		l.noteBroken(now, r)
-	}
 	if healthy && r.usable() && r.conns.total <= r.Share {
 		r.conns.idle = append(r.conns.idle, conn)
 		return
--- a/coordination/grleaf/counters.go
+++ b/coordination/grleaf/counters.go
@@ -8,6 +8,7 @@
 	Sheds, Ejections, SilentConns       uint64
 	HedgesDenied, RetriesDenied, Cancel uint64
 	ConnsOpened, ConnsClosed            uint64
+	Dropped                             uint64
 }
 
 // Add sums the counters of another leaf into c.
@@ -28,4 +29,5 @@
 	c.Cancel += o.Cancel
 	c.ConnsOpened += o.ConnsOpened
 	c.ConnsClosed += o.ConnsClosed
+	c.Dropped += o.Dropped
 }
--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -20,31 +20,40 @@
 	return latest
 }
 
-// dispatch sends waiting sub-requests, the earliest deadline first, as long as
-// a searcher has room.
+// dispatch sends waiting sub-requests in the order of the queue, as long as a
+// searcher has room. A second copy that finds none does not hold up the others.
 func (l *Leaf) dispatch(now grclock.Millis, out *Out) {
 	for l.queue.Len() > 0 {
 		index := l.queue.Top()
 		s := &l.subs[index]
 		if s.Deadline <= now {
-			l.expire(index, out)
+			l.expire(now, index, out)
 			continue
 		}
 		r := l.choose(now, s)
 		if r < 0 && s.active == 0 && l.unreachable() {
-			l.finish(index, l.endOf(s, NotStarted), nil, out)
+			l.finish(index, l.endOf(s, NotStarted), out)
+			continue
+		}
+		if r < 0 && s.active > 0 {
+			l.aside = append(l.aside, l.queue.Pop())
 			continue
 		}
 		if r < 0 {
 			l.wakeAt(s.Deadline)
 			l.wakeAfterRest(now)
-			return
+			break
 		}
 		l.queue.Pop()
-		s.queued = false
+		s.queued, s.hedging = false, false
 		l.countSend(s)
 		l.send(now, index, r, out)
 	}
+	for _, index := range l.aside {
+		l.wakeAt(l.subs[index].Deadline)
+		l.queue.Push(index)
+	}
+	l.aside = l.aside[:0]
 }
 
 func (l *Leaf) countSend(s *sub) {
@@ -88,7 +97,7 @@
 	s.active++
 	s.tried |= 1 << (uint(searcher) % 64)
 	l.inFlight.push(id)
-	l.wakeAt(now + l.hedgeAfter())
+	l.wakeAt(now + l.hedgeDelay(s))
 	l.wakeAt(now + l.Policy.SilentLimit)
 	l.act(out, Send, searcher, conn, id, s.Key, s.Deadline-now)
 }
@@ -134,13 +143,13 @@
 		if l.subs[index].Deadline > now {
 			return
 		}
-		l.expire(index, out)
+		l.expire(now, index, out)
 	}
 }
 
-func (l *Leaf) expire(index int32, out *Out) {
-	l.cancelAttempts(index, out)
-	l.finish(index, l.endOf(&l.subs[index], Expired), nil, out)
+func (l *Leaf) expire(now grclock.Millis, index int32, out *Out) {
+	l.cancelAttempts(now, index, out)
+	l.finish(index, l.endOf(&l.subs[index], Expired), out)
 }
 
 // endOf returns the honest end of a sub-request without an answer.
--- a/coordination/grleaf/hedge.go
+++ b/coordination/grleaf/hedge.go
@@ -30,7 +30,7 @@
 // checkInFlight walks the attempts from the oldest: it drops those that ended,
 // replaces silent connections and sends second copies.
 func (l *Leaf) checkInFlight(now grclock.Millis, out *Out) {
-	threshold := l.hedgeAfter()
+	usual := l.hedgeAfter()
 	for l.inFlight.size > 0 && l.find(l.inFlight.at(0)) == nil {
 		l.inFlight.popFront()
 	}
@@ -44,16 +44,18 @@
 			l.endSilent(now, a, out)
 			continue
 		}
-		if age < threshold {
+		threshold := l.thresholdOf(a, usual)
+		if age < threshold && !a.cancelled {
 			l.wakeAt(a.sentAt + threshold)
-			break
+			continue
 		}
 		switch {
 		case a.cancelled:
+			l.dropLate(now, a, out)
 		case !a.hedged:
 			l.hedge(now, a, age)
 		case age >= l.abandonAfter(threshold):
-			l.abandonLate(a, out)
+			l.abandonLate(now, a, out)
 		default:
 			l.wakeAt(a.sentAt + l.abandonAfter(threshold))
 		}
@@ -70,7 +72,7 @@
 func (l *Leaf) hedge(now grclock.Millis, a *attempt, age grclock.Millis) {
 	l.noteSlow(now, &l.replicas[a.replica], age)
 	s := &l.subs[a.sub]
-	if s.Once || int(s.sent) >= l.Policy.MaxAttempts || s.queued {
+	if s.Once || int(s.sent) >= l.maxAttempts(s) || s.queued {
 		a.hedged = true
 		return
 	}
@@ -80,6 +82,7 @@
 		return
 	}
 	a.hedged = true
+	s.hedging = true
 	l.enqueue(a.sub)
 }
 
@@ -92,12 +95,52 @@
 // abandonLate cancels an attempt whose copy is on its way. Otherwise the slots
 // of all searchers could be held by late attempts, whose copies wait for each
 // other's slots.
-func (l *Leaf) abandonLate(a *attempt, out *Out) {
+func (l *Leaf) abandonLate(now grclock.Millis, a *attempt, out *Out) {
 	s := &l.subs[a.sub]
 	if l.Policy.AbandonRatio <= 0 || s.queued || s.active < 2 {
 		return
 	}
-	l.cancel(a, s.Key, out)
+	l.cancel(now, a, s.Key, out)
+}
+
+// dropLate closes the connection of an attempt that nobody waits for, once it
+// has had time to end by itself: a new connection costs more than the rest of a
+// short search.
+func (l *Leaf) dropLate(now grclock.Millis, a *attempt, out *Out) {
+	if l.Policy.DropAfter <= 0 {
+		return
+	}
+	if now-a.cancelAt < l.Policy.DropAfter {
+		l.wakeAt(a.cancelAt + l.Policy.DropAfter)
+		return
+	}
+	l.Counters.Dropped++
+	l.Reply(now, Reply{Attempt: a.id, Kind: Dropped}, out)
+}
+
+// thresholdOf returns the age at which an attempt is late.
+func (l *Leaf) thresholdOf(a *attempt, usual grclock.Millis) grclock.Millis {
+	s := &l.subs[a.sub]
+	if s.live && s.gen == a.subGen && s.HedgeAfter > 0 {
+		return s.HedgeAfter
+	}
+	return usual
+}
+
+// hedgeDelay returns the age at which an attempt of the sub-request is late.
+func (l *Leaf) hedgeDelay(s *sub) grclock.Millis {
+	if s.HedgeAfter > 0 {
+		return s.HedgeAfter
+	}
+	return l.hedgeAfter()
+}
+
+// maxAttempts returns how many copies of the sub-request may be sent.
+func (l *Leaf) maxAttempts(s *sub) int {
+	if s.MaxAttempts > 0 {
+		return min(s.MaxAttempts, maxCopies)
+	}
+	return l.Policy.MaxAttempts
 }
 
 // hedgeRecheck is the pause before a second copy that the budget did not pay
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -15,6 +15,7 @@
 
 import (
 	"geraniumrouter/coordination/grstat"
+	"geraniumrouter/state/granswer"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grheap"
 	"geraniumrouter/state/grid"
@@ -32,6 +33,10 @@
 	Key      SubKey
 	Deadline grclock.Millis
 	Once     bool // not idempotent: never sent again unless it did not start
+
+	Priority    int            // 0 goes first among those that wait
+	HedgeAfter  grclock.Millis // age of an attempt at which a second copy is sent; 0: by the policy
+	MaxAttempts int            // copies, the first included; 0: by the policy
 }
 
 // Searcher describes one searcher of the service.
@@ -61,6 +66,7 @@
 	Cancelled                  // the searcher stopped it on our request
 	Refused                    // no byte was sent
 	LostReply                  // sent, and the connection ended without an answer
+	Dropped                    // we closed its connection, for nobody waits for the answer
 )
 
 // notStarted reports whether the end proves that the searcher did not start.
@@ -79,7 +85,8 @@
 	Kind     ReplyKind
 	Load     Load
 	Records  []grsnapshot.Record
-	KeepConn bool // the connection can be used again
+	Answer   *granswer.Answer // in place of Records, for requests that are passed on whole
+	KeepConn bool             // the connection can be used again
 }
 
 // DoneKind is how a sub-request ended.
@@ -99,6 +106,7 @@
 	Key     SubKey
 	Kind    DoneKind
 	Records []grsnapshot.Record
+	Answer  *granswer.Answer // of Answered, or of the searcher that failed last
 }
 
 // ActionKind tells what a daemon must do.
@@ -138,16 +146,19 @@
 type Leaf struct {
 	Policy   Policy
 	Random   grid.Random
-	Hedges   *grstat.Budget // pays for second copies; shared by the leaves of an instance
-	Retries  *grstat.Budget // pays for repeated sub-requests; shared too
+	Hedges   *grstat.Budget     // pays for second copies; shared by the leaves of an instance
+	Retries  *grstat.Budget     // pays for repeated sub-requests; shared too
+	Domain   grid.FailureDomain // of the instance; preferred where Policy says so
 	Counters Counters
 
 	replicas []replica
+	listed   bool // a list of searchers was given
 	subs     []sub
 	freeSubs []int32
 	byKey    map[SubKey]int32
 	attempts []attempt
 	freeAtts []int32
+	aside    []int32            // second copies without room, during a dispatch
 	queue    grheap.Heap[int32] // waiting sub-requests by deadline
 	inFlight attemptRing        // dispatched attempts, oldest first
 	latency  grstat.Quantile
@@ -163,13 +174,15 @@
 	Sub
 	live     bool
 	queued   bool
+	hedging  bool // what waits is a second copy that was paid
 	gen      uint32
-	active   int8   // attempts without an answer
-	sent     int8   // attempts dispatched
-	begun    bool   // was dispatched before
-	tried    uint64 // searchers that had an attempt, as bits
-	gone     bool   // a searcher said that the snapshot is gone
-	started  bool   // an attempt may have run
+	active   int8             // attempts without an answer
+	sent     int8             // attempts dispatched
+	begun    bool             // was dispatched before
+	tried    uint64           // searchers that had an attempt, as bits
+	gone     bool             // a searcher said that the snapshot is gone
+	started  bool             // an attempt may have run
+	failure  *granswer.Answer // of the searcher that failed last
 	attempts [maxCopies]grid.AttemptID
 }
 
@@ -181,6 +194,7 @@
 	id        grid.AttemptID
 	live      bool
 	cancelled bool
+	cancelAt  grclock.Millis
 	hedged    bool // no further copy is owed for this attempt
 	sub       int32
 	subGen    uint32
@@ -218,7 +232,7 @@
 	index := l.newSub(s)
 	l.enqueue(index)
 	if l.queue.Len() > l.Policy.MaxQueue {
-		l.finish(l.latestQueued(), NotStarted, nil, out)
+		l.finish(l.latestQueued(), NotStarted, out)
 	}
 	l.dispatch(now, out)
 }
@@ -232,7 +246,7 @@
 	}
 	s := &l.subs[index]
 	started = s.started || s.active > 0 || s.gone && !s.Once
-	l.cancelAttempts(index, out)
+	l.cancelAttempts(now, index, out)
 	l.release(index)
 	l.dispatch(now, out)
 	return started
@@ -294,7 +308,7 @@
 	if s.queued {
 		l.queue.Remove(index)
 		s.queued = false
-		if s.active > 0 {
+		if s.hedging {
 			l.Hedges.Refund()
 		}
 	}
@@ -303,27 +317,35 @@
 	l.freeSubs = append(l.freeSubs, index)
 }
 
-func (l *Leaf) finish(index int32, kind DoneKind, records []grsnapshot.Record, out *Out) {
-	if kind == Answered {
-		l.Counters.Answered++
-	} else {
-		l.Counters.NotAnswered++
-	}
-	out.Done = append(out.Done, Done{Key: l.subs[index].Key, Kind: kind, Records: records})
+// finish ends a sub-request without an answer.
+func (l *Leaf) finish(index int32, kind DoneKind, out *Out) {
+	l.Counters.NotAnswered++
+	s := &l.subs[index]
+	out.Done = append(out.Done, Done{Key: s.Key, Kind: kind, Answer: s.failure})
 	l.release(index)
 }
 
-func (l *Leaf) cancelAttempts(index int32, out *Out) {
+// answer ends a sub-request with what a searcher said.
+func (l *Leaf) answer(index int32, reply *Reply, out *Out) {
+	l.Counters.Answered++
+	out.Done = append(out.Done, Done{Key: l.subs[index].Key, Kind: Answered, Records: reply.Records, Answer: reply.Answer})
+	l.release(index)
+}
+
+func (l *Leaf) cancelAttempts(now grclock.Millis, index int32, out *Out) {
 	s := &l.subs[index]
 	for _, id := range s.attempts[:s.sent] {
 		if a := l.find(id); a != nil && !a.cancelled {
-			l.cancel(a, s.Key, out)
+			l.cancel(now, a, s.Key, out)
 		}
 	}
 }
 
-func (l *Leaf) cancel(a *attempt, key SubKey, out *Out) {
-	a.cancelled = true
+func (l *Leaf) cancel(now grclock.Millis, a *attempt, key SubKey, out *Out) {
+	a.cancelled, a.cancelAt = true, now
+	if l.Policy.DropAfter > 0 {
+		l.wakeAt(now + l.Policy.DropAfter)
+	}
 	l.Counters.Cancel++
 	l.act(out, CancelAttempt, a.replica, a.conn, a.id, key, 0)
 }
--- a/coordination/grleaf/policy.go
+++ b/coordination/grleaf/policy.go
@@ -22,6 +22,9 @@
 	WindowPerSlot  float64        // largest window ÷ slots
 	SpareConns     int            // idle connections kept beyond the window
 	ReopenInterval grclock.Millis // pause after a connection could not be opened
+	DropAfter      grclock.Millis // after this long the connection of an attempt that nobody waits for is closed; 0 never
+	PayResends     bool           // the budget pays for copies in place of those that searchers turned away
+	FarFactor      float64        // expected wait in other failure domains counts so many times; 0 stands for 1
 }
 
 // Choice selects the rule by which a searcher is chosen.
--- a/coordination/grleaf/queue.go
+++ b/coordination/grleaf/queue.go
@@ -2,9 +2,13 @@
 
 import "geraniumrouter/state/grid"
 
-// before orders waiting sub-requests by deadline. It breaks ties by query, so
-// that queues of different services agree on which query goes first.
+// before orders waiting sub-requests by priority, then deadline. It breaks ties
+// by query, so that queues of different services agree on which query goes
+// first.
 func before(a, b *sub) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
 	if a.Deadline != b.Deadline {
 		return a.Deadline < b.Deadline
 	}
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -19,7 +19,8 @@
 	load      Load
 	loadAt    grclock.Millis
 	knownAt   grclock.Millis // start of slow start
-	failures  int
+	failures  int            // in a row
+	faulty    grstat.Mean    // share of the attempts of late that failed
 	ejections int
 	outUntil  grclock.Millis
 	restUntil grclock.Millis // pause after it shed
@@ -37,6 +38,8 @@
 	firstRest     = 4 * grclock.Millisecond   // first pause of a searcher that shed
 	maxRestStep   = 8                         // doublings of the pause
 	maxEjectSteps = 5                         // doublings of the span that a searcher stays out
+	faultyWeight  = 0.15                      // of the newest attempt in the share that failed
+	faultyPenalty = 8                         // factor on the expected wait where every attempt fails
 )
 
 // SetSearchers replaces the list of searchers. Those that are no longer named
@@ -54,6 +57,7 @@
 		r.present = true
 		r.window = min(max(r.window, 1), l.maxWindow(r))
 	}
+	l.listed = true
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
 }
@@ -189,7 +193,10 @@
 	}
 	slots := float64(max(r.Slots, 1))
 	ahead := float64(r.busy) + l.othersLoad(now, r)
-	wait := l.expectedLatency(now, r) * (1 + ahead/slots)
+	wait := l.expectedLatency(now, r) * (1 + ahead/slots) * (1 + faultyPenalty*r.faulty.Value(0))
+	if l.Policy.FarFactor > 0 && r.Domain != l.Domain {
+		wait *= l.Policy.FarFactor
+	}
 	jitter := 1 + 0.05*l.Random.Float()
 	return wait * jitter / l.warmth(now, r)
 }
@@ -239,6 +246,17 @@
 	r.touchedAt = now
 }
 
+// noteOutcome keeps the share of the attempts that failed. A searcher that
+// fails part of its attempts never fails often in a row.
+func (l *Leaf) noteOutcome(r *replica, kind ReplyKind) {
+	switch kind {
+	case OK:
+		r.faulty.Add(0, faultyWeight)
+	case Failed, LostReply, Shed:
+		r.faulty.Add(1, faultyWeight)
+	}
+}
+
 func (l *Leaf) noteLoad(now grclock.Millis, r *replica, load Load) {
 	if !load.Known {
 		return
--- a/coordination/grleaf/reply.go
+++ b/coordination/grleaf/reply.go
@@ -38,6 +38,7 @@
 	if reply.Kind == OK || a.cancelled {
 		l.latency.Add(span)
 	}
+	l.noteOutcome(r, reply.Kind)
 	switch reply.Kind {
 	case OK:
 		l.noteSuccess(r)
@@ -60,7 +61,10 @@
 		l.noteFailure(now, r)
 		l.rest(now, r)
 	}
-	l.giveBack(now, a.replica, a.conn, reply.KeepConn, out)
+	if !reply.KeepConn && (reply.Kind == LostReply || reply.Kind == Refused) {
+		l.noteBroken(now, r)
+	}
+	l.giveBack(a.replica, a.conn, reply.KeepConn, out)
 	l.openWanted(now, a.replica, out)
 }
 
@@ -70,14 +74,17 @@
 	switch reply.Kind {
 	case OK:
 		l.noteAnswer(now, sentAt)
-		l.cancelAttempts(index, out)
-		l.finish(index, Answered, reply.Records, out)
+		l.cancelAttempts(now, index, out)
+		l.answer(index, &reply, out)
 		return
 	case Gone:
 		s.gone = true
-	case Failed, LostReply:
+	case Failed, LostReply, Dropped:
 		s.started = true
 	}
+	if reply.Answer != nil {
+		s.failure = reply.Answer
+	}
 	if reply.Kind.notStarted() {
 		s.forget(reply.Attempt)
 	}
@@ -85,7 +92,7 @@
 		return
 	}
 	if !l.mayRetry(s, reply.Kind) {
-		l.finish(index, l.endOf(s, NotStarted), nil, out)
+		l.finish(index, l.endOf(s, NotStarted), out)
 		return
 	}
 	l.enqueue(index)
@@ -108,12 +115,12 @@
 // is not idempotent is not sent again once it may have started.
 func (l *Leaf) mayRetry(s *sub, kind ReplyKind) bool {
 	if kind.notStarted() {
-		return !s.started || !s.Once
+		return (!s.started || !s.Once) && l.payResend(kind)
 	}
 	if kind == Cancelled {
 		return int(s.sent) < maxCopies && l.Retries.Spend()
 	}
-	if s.Once && s.started || int(s.sent) >= l.Policy.MaxAttempts || !l.hasUntried(s) {
+	if s.Once && s.started || int(s.sent) >= l.maxAttempts(s) || !l.hasUntried(s) {
 		return false
 	}
 	if !l.Retries.Spend() {
@@ -123,6 +130,17 @@
 	return true
 }
 
+// payResend pays for a copy in place of one that did not start, where arrivals
+// that searchers turn away count as extra work. One of which no byte was sent
+// never arrived.
+func (l *Leaf) payResend(kind ReplyKind) bool {
+	if kind == Refused || !l.Policy.PayResends || l.Retries.Spend() {
+		return true
+	}
+	l.Counters.RetriesDenied++
+	return false
+}
+
 func (l *Leaf) hasUntried(s *sub) bool {
 	for i := range l.replicas {
 		if l.replicas[i].usable() && s.tried&(1<<(uint(i)%64)) == 0 {
--- /dev/null
+++ b/state/grtable/table_test.go
@@ -0,0 +1,31 @@
+package grtable
+
+import "testing"
+
+// TestMatch takes the longest prefix of the host that begins the path.
+func TestMatch(t *testing.T) {
+	table := &Table{Routes: []Route{
+		{Name: "root", Host: "a.example", Prefix: "/"},
+		{Name: "tickets", Host: "a.example", Prefix: "/tickets/"},
+		{Name: "old", Host: "a.example", Prefix: "/tickets/old/"},
+		{Name: "other", Host: "b.example", Prefix: "/tickets/"},
+	}}
+	table.Index()
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/tickets/7", "tickets"},
+		{"A.Example:80", "/tickets/old/7", "old"},
+		{"a.example", "/tickets/older", "tickets"},
+		{"a.example", "/tickets", "root"},
+		{"b.example", "/tickets/", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/tickets/", ""},
+	} {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
