Requests on routes in the router; exchanges of any wire form on upstream connections

Cause: the router knows collections cut by key range; routes name services, and the wire form of their requests is not the project's own. Ruled out: a router beside the first; reading answers by http.Transport, which hides whether a byte was sent and which connection answered. Change: StartRoute (split by weight, required share, cut by the objective, hopeless ends at once), a budget of extra sub-requests for each service, and grupstream.Exchange; a reader of each connection sees unasked bytes and early answers. Conclusion: one pool and one router carry both forms.

--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -228,7 +228,9 @@
 func (l *Leaf) Submit(now grclock.Millis, s Sub, out *Out) {
 	l.Counters.Submitted++
 	l.Hedges.Earn()
-	l.Retries.Earn()
+	if l.Retries != l.Hedges {
+		l.Retries.Earn()
+	}
 	index := l.newSub(s)
 	l.enqueue(index)
 	if l.queue.Len() > l.Policy.MaxQueue {
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -31,6 +31,7 @@
 	deadline   grclock.Millis
 	terms      grpreset.Terms
 	generation grid.Generation
+	routed     *routed // of requests on routes; nil for collections
 }
 
 // maxReruns bounds the times that a query starts over on a newer snapshot.
@@ -171,22 +172,37 @@
 func (r *Router) submitShards(now grclock.Millis, q *query, out *Out) {
 	q.submitting = true
 	run := q.reruns
-	for i := range q.shards {
+	for i := range q.settled {
 		if q.settled[i] {
 			continue
 		}
 		leaf := q.leaves[i]
 		key := grleaf.SubKey{Query: q.id, Shard: int32(i)}
-		r.leaves[leaf].Submit(now, grleaf.Sub{Key: key, Deadline: q.deadline, Once: q.once}, &out.leaf)
+		r.leaves[leaf].Submit(now, r.subOf(q, key), &out.leaf)
 		r.settle(now, leaf, out)
 		if q.reruns != run {
 			return
 		}
 	}
 	q.submitting = false
+	if q.routed != nil {
+		r.endRouteIfDue(now, q, out)
+		return
+	}
 	r.endIfSettled(now, q, out)
 }
 
+// subOf returns the sub-request of a query with its terms.
+func (r *Router) subOf(q *query, key grleaf.SubKey) grleaf.Sub {
+	s := grleaf.Sub{Key: key, Deadline: q.deadline, Once: q.once}
+	if q.routed != nil {
+		route := q.routed.route
+		s.Priority, s.MaxAttempts = route.Priority, route.MaxAttempts
+		s.HedgeAfter = max(r.RoutePolicy.HedgeLeast, grclock.Millis(r.RoutePolicy.Hedge*float64(route.Objective)))
+	}
+	return s
+}
+
 // subDone merges the end of a sub-request into its query.
 func (r *Router) subDone(now grclock.Millis, q *query, done *grleaf.Done, out *Out) {
 	shard := int(done.Key.Shard)
@@ -195,6 +211,10 @@
 	}
 	q.settled[shard] = true
 	q.open--
+	if q.routed != nil {
+		r.partDone(now, q, done, out)
+		return
+	}
 	switch done.Kind {
 	case grleaf.Answered:
 		q.started = true
@@ -268,10 +288,13 @@
 func (r *Router) finish(now grclock.Millis, q *query, out *Out) {
 	delete(r.queries, q.id)
 	r.abandonOpen(now, q, out)
-	result := Result{
-		ID: q.id, Coverage: q.cover.Fraction(), Snapshot: q.pinned.Snapshot, Generation: q.generation,
+	result := Result{ID: q.id, Generation: q.generation}
+	if q.routed != nil {
+		r.judgeRoute(q, &result)
+	} else {
+		result.Coverage, result.Snapshot = q.cover.Fraction(), q.pinned.Snapshot
+		r.judge(q, &result)
 	}
-	r.judge(q, &result)
 	r.count(result.Outcome)
 	r.gate.Release(q.name)
 	out.Results = append(out.Results, result)
--- /dev/null
+++ b/coordination/grrouter/route.go
@@ -0,0 +1,217 @@
+package grrouter
+
+import (
+	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/state/granswer"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grfault"
+	"geraniumrouter/state/grid"
+	"geraniumrouter/state/grtable"
+)
+
+// RouteAsk is a request that a route of the table names. The table it carries
+// stays in force for it, whatever becomes known later.
+type RouteAsk struct {
+	Table    *grtable.Table
+	Route    *grtable.Route
+	Services []grid.Service // the shards to ask, of one target; empty: the target that is due
+	Deadline grclock.Millis // of the caller
+	Elapsed  grclock.Millis // of the time aimed at, before the request came here
+}
+
+// Part is what one shard answered.
+type Part struct {
+	Service grid.Service
+	Answer  *granswer.Answer
+}
+
+// RoutePolicy holds the terms of requests on routes.
+type RoutePolicy struct {
+	Hedge       float64        // age of an attempt at a second copy ÷ objective
+	HedgeLeast  grclock.Millis // least age of an attempt at a second copy
+	Cut         float64        // time at which an answer with the required share goes out ÷ objective
+	CutMargin   grclock.Millis // taken off that time, for the way to the caller
+	MaxInFlight int            // requests of an instance
+}
+
+// DefaultRoutePolicy returns the terms used where none are set.
+func DefaultRoutePolicy() RoutePolicy {
+	return RoutePolicy{
+		Hedge:       0.3,
+		HedgeLeast:  8 * grclock.Millisecond,
+		Cut:         0.95,
+		CutMargin:   5 * grclock.Millisecond,
+		MaxInFlight: 512,
+	}
+}
+
+// routed is the part of a query's state that only requests on routes have.
+type routed struct {
+	route    *grtable.Route
+	services []grid.Service
+	parts    []Part
+	failure  *granswer.Answer
+	cutAt    grclock.Millis
+	failed   int // shards that ended without a part
+}
+
+// needed is the number of parts that an answer must have.
+func (d *routed) needed() int {
+	if !d.route.AllShards {
+		return 1
+	}
+	total := len(d.services)
+	for n := 1; n < total; n++ {
+		if float64(n)/float64(total) >= d.route.MinShare {
+			return n
+		}
+	}
+	return total
+}
+
+// StartRoute starts a request on a route. Its end is among the results of this
+// call or of a later one.
+func (r *Router) StartRoute(now grclock.Millis, ask RouteAsk, out *Out) grid.QueryID {
+	r.Counters.Queries++
+	q := r.newQuery()
+	q.startedAt = now
+	q.deadline = min(ask.Deadline, now+ask.Route.Timeout) - r.Margin
+	q.once = !ask.Route.Idempotent
+	q.generation = grid.Generation(ask.Table.Version)
+	q.routed = r.plan(now, &ask)
+	q.leaves = r.leavesOf(q.routed.services)
+	if code := r.admitRoute(now, q); code != "" {
+		r.refuseRoute(q, code, out)
+		return q.id
+	}
+	q.settled = resized(q.settled, len(q.leaves))
+	q.open = len(q.leaves)
+	if q.routed.cutAt < q.deadline {
+		r.deadlines.Push(timer{q.routed.cutAt, q.id})
+	}
+	r.submit(now, q, out)
+	return q.id
+}
+
+// plan chooses the services that are asked and the time of an answer in part.
+func (r *Router) plan(now grclock.Millis, ask *RouteAsk) *routed {
+	d := &routed{route: ask.Route, services: ask.Services}
+	if len(d.services) == 0 {
+		d.services = ask.Route.Targets[r.splitOf(ask).next(ask.Route.Targets)].Services
+	}
+	p := &r.RoutePolicy
+	d.cutAt = now - ask.Elapsed + grclock.Millis(p.Cut*float64(ask.Route.Objective)) - p.CutMargin
+	return d
+}
+
+// splitOf returns the split of a route of the newest table. Requests that keep
+// an older table share it.
+func (r *Router) splitOf(ask *RouteAsk) *split {
+	if ask.Table.Version > r.splitVersion {
+		r.splitVersion = ask.Table.Version
+		clear(r.splits)
+	}
+	s := r.splits[ask.Route.Name]
+	if s == nil {
+		s = &split{}
+		r.splits[ask.Route.Name] = s
+	}
+	return s
+}
+
+func (r *Router) leavesOf(services []grid.Service) []int32 {
+	leaves := make([]int32, len(services))
+	for i, name := range services {
+		leaves[i] = r.leafFor(name)
+	}
+	return leaves
+}
+
+// admitRoute refuses what would not be answered in time. For an answer from
+// many shards the slowest may be left out, so that only the number in flight
+// counts.
+func (r *Router) admitRoute(now grclock.Millis, q *query) grfault.Code {
+	wait := grclock.Millis(0)
+	if len(q.leaves) == 1 {
+		wait = r.leaves[q.leaves[0]].ExpectedWait()
+	}
+	r.gate.Max = r.RoutePolicy.MaxInFlight
+	return r.gate.Admit(now, q.name, 1, wait, q.deadline-now)
+}
+
+func (r *Router) refuseRoute(q *query, code grfault.Code, out *Out) {
+	r.Counters.NotRun++
+	r.Counters.Refused++
+	result := Result{ID: q.id, Outcome: NotRun, Code: code, Generation: q.generation, Asked: len(q.leaves)}
+	result.RetryAfter = r.retryAfter(q)
+	out.Results = append(out.Results, result)
+	r.free = append(r.free, q)
+}
+
+// retryAfter estimates when the services of a refused request have room again.
+func (r *Router) retryAfter(q *query) grclock.Millis {
+	wait := leastRetry
+	for _, leaf := range q.leaves {
+		wait = max(wait, r.leaves[leaf].ExpectedWait())
+	}
+	return wait
+}
+
+// leastRetry is the shortest time after which a refused caller is asked to come
+// back: about as long as a searcher rests after it turned work away.
+const leastRetry = 50 * grclock.Millisecond
+
+// partDone takes the end of the sub-request to one shard.
+func (r *Router) partDone(now grclock.Millis, q *query, done *grleaf.Done, out *Out) {
+	d := q.routed
+	switch done.Kind {
+	case grleaf.Answered:
+		q.started = true
+		d.parts = append(d.parts, Part{Service: d.services[done.Key.Shard], Answer: done.Answer})
+	case grleaf.Unknown:
+		q.started = true
+		d.failed++
+	default:
+		d.failed++
+	}
+	if done.Kind != grleaf.Answered && done.Answer != nil {
+		d.failure = done.Answer
+	}
+	if !q.submitting {
+		r.endRouteIfDue(now, q, out)
+	}
+}
+
+// endRouteIfDue ends the request when nothing more can be gained: every shard
+// has ended, the required share can't be reached any more, or it is in and the
+// time for an answer in part has come.
+func (r *Router) endRouteIfDue(now grclock.Millis, q *query, out *Out) {
+	d := q.routed
+	needed := d.needed()
+	switch {
+	case q.open == 0,
+		len(d.services)-d.failed < needed,
+		now >= d.cutAt && len(d.parts) >= needed && d.route.AllShards:
+		r.finish(now, q, out)
+	}
+}
+
+// judgeRoute decides on the outcome of a request on a route.
+func (r *Router) judgeRoute(q *query, result *Result) {
+	d := q.routed
+	result.Parts, result.Failure, result.Asked = d.parts, d.failure, len(d.services)
+	switch {
+	case len(d.parts) == len(d.services):
+		result.Outcome = Complete
+	case len(d.parts) >= d.needed():
+		result.Outcome = Partial
+	case q.started:
+		result.Outcome, result.Code = Unknown, grfault.CoverageTooLow
+		if !d.route.AllShards {
+			result.Code = grfault.Lost
+		}
+	default:
+		result.Outcome, result.Code = NotRun, grfault.NoSearcher
+		result.RetryAfter = r.retryAfter(q)
+	}
+}
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -20,12 +20,14 @@
 	"geraniumrouter/coordination/gradmission"
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grstat"
+	"geraniumrouter/state/granswer"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grfault"
 	"geraniumrouter/state/grheap"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grsnapshot"
+	"geraniumrouter/state/grtable"
 )
 
 // Outcome says what became of a request.
@@ -68,6 +70,11 @@
 	Snapshot   grsnapshot.Snapshot
 	Generation grid.Generation
 	Records    []grsnapshot.Record
+
+	Parts      []Part           // of requests on routes: what was answered
+	Failure    *granswer.Answer // of requests on routes: the failure a searcher answered with, if any
+	Asked      int              // of requests on routes: shards that make up a whole answer
+	RetryAfter grclock.Millis   // after NotRun: when to come back
 }
 
 // Out collects what a call decided. Callers reuse it to keep its memory.
@@ -108,6 +115,12 @@
 	DropBodies bool // results carry no records; for benchmarks of decisions
 	Counters   Counters
 
+	RoutePolicy RoutePolicy        // the zero value stands for DefaultRoutePolicy
+	Domain      grid.FailureDomain // of the instance
+	// ServiceBudget pays for the extra sub-requests of each service apart, in
+	// place of the budgets of the whole instance. The zero value turns it off.
+	ServiceBudget grstat.Budget
+
 	collections map[grid.Collection]*collection
 	services    map[grid.Service]int32
 	leaves      []*grleaf.Leaf
@@ -122,6 +135,10 @@
 	retries     grstat.Budget // of all leaves
 	register    grpreset.Register
 	nextID      grid.QueryID
+
+	splits       map[string]*split // by route, of the newest table
+	splitVersion grtable.Version
+	budgets      []*grstat.Budget // of the services, where each has its own
 }
 
 type timer struct {
@@ -150,6 +167,10 @@
 	if r.Margin == 0 {
 		r.Margin = defaultMargin
 	}
+	if r.RoutePolicy == (RoutePolicy{}) {
+		r.RoutePolicy = DefaultRoutePolicy()
+	}
+	r.splits = make(map[string]*split)
 	r.setBudgets()
 	r.hedges.Fill()
 	r.retries.Fill()
@@ -300,7 +321,7 @@
 	for r.deadlines.Len() > 0 && r.deadlines.Top().at <= now {
 		due := r.deadlines.Pop()
 		if q := r.queries[due.id]; q != nil {
-			r.finish(now, q, out)
+			r.due(now, q, out)
 		}
 	}
 	for r.wakes.Len() > 0 && r.wakes.Top().at <= now {
@@ -314,6 +335,34 @@
 	}
 }
 
+// due ends a query at its deadline, or earlier in part.
+func (r *Router) due(now grclock.Millis, q *query, out *Out) {
+	if q.routed != nil && now < q.deadline {
+		r.endRouteIfDue(now, q, out)
+		return
+	}
+	r.finish(now, q, out)
+}
+
+// SetReserve changes how many extra sub-requests to each service can be saved
+// up.
+func (r *Router) SetReserve(reserve float64) {
+	r.ServiceBudget.Reserve = reserve
+	for _, b := range r.budgets {
+		b.Reserve = reserve
+	}
+}
+
+// budgetsFor returns what pays for the extra sub-requests of a new leaf.
+func (r *Router) budgetsFor() (hedges, retries *grstat.Budget) {
+	if r.ServiceBudget.Share == 0 {
+		return &r.hedges, &r.retries
+	}
+	own := r.ServiceBudget
+	r.budgets = append(r.budgets, &own)
+	return &own, &own
+}
+
 // NextWake returns the time by which Tick must be called.
 func (r *Router) NextWake() grclock.Millis {
 	wake := grclock.Never
@@ -331,7 +380,11 @@
 		return index
 	}
 	index := int32(len(r.leaves))
-	leaf := &grleaf.Leaf{Policy: r.Policy, Hedges: &r.hedges, Retries: &r.retries, Random: grid.Random{State: r.Seed ^ grid.Hash(name)}}
+	hedges, retries := r.budgetsFor()
+	leaf := &grleaf.Leaf{
+		Policy: r.Policy, Hedges: hedges, Retries: retries, Domain: r.Domain,
+		Random: grid.Random{State: r.Seed ^ grid.Hash(name)},
+	}
 	leaf.Init()
 	r.leaves = append(r.leaves, leaf)
 	r.names = append(r.names, name)
@@ -348,7 +401,7 @@
 	out.Actions = append(out.Actions, out.leaf.Actions...)
 	done := out.leaf.Done
 	out.leaf.Reset()
-	r.plan(leaf)
+	r.planWake(leaf)
 	if len(done) == 0 {
 		return
 	}
@@ -363,8 +416,8 @@
 	}
 }
 
-// plan notes when the leaf wants its next Tick.
-func (r *Router) plan(leaf int32) {
+// planWake notes when the leaf wants its next Tick.
+func (r *Router) planWake(leaf int32) {
 	wake := r.leaves[leaf].NextWake()
 	if wake < r.planned[leaf] {
 		r.planned[leaf] = wake
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -235,21 +235,19 @@
 		l.unsent = append(l.unsent, unsent{a.Service, a.Attempt})
 		return
 	}
-	l.node.pool.Send(place, grupstream.Sending{
-		Context: ask.ctx,
-		Request: grwire.SearchRequest{
-			Caller:      l.node.pool.Caller,
-			Attempt:     uint64(a.Attempt),
-			Collection:  string(ask.collection),
-			Index:       uint64(snapshot.Index),
-			Map:         uint64(snapshot.Map),
-			From:        uint64(shard.From),
-			To:          uint64(shard.To),
-			Text:        ask.text,
-			RequestID:   string(ask.requestID),
-			RemainingMS: int64(a.Timeout),
-		},
-	})
+	search := &grupstream.Search{Context: ask.ctx, Asked: grwire.SearchRequest{
+		Caller:      l.node.pool.Caller,
+		Attempt:     uint64(a.Attempt),
+		Collection:  string(ask.collection),
+		Index:       uint64(snapshot.Index),
+		Map:         uint64(snapshot.Map),
+		From:        uint64(shard.From),
+		To:          uint64(shard.To),
+		Text:        ask.text,
+		RequestID:   string(ask.requestID),
+		RemainingMS: int64(a.Timeout),
+	}}
+	l.node.pool.Send(place, grupstream.Sending{Attempt: a.Attempt, Exchange: search})
 }
 
 func (l *loop) deliver(result *grrouter.Result) {
--- a/transport/grupstream/control.go
+++ b/transport/grupstream/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
@@ -64,8 +65,9 @@
 
 func (c *control) keep(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if l, err := c.pool.connect(ctx, c.address); err == nil {
-			c.serve(ctx, l)
+		answers := make(chan received, 1)
+		if l, err := c.pool.connect(ctx, c.address, func(got received) { answers <- got }); err == nil {
+			c.serve(ctx, &caller{l, c.address, answers, c.pool.Silent})
 			l.Close()
 		}
 		c.pool.Clock.Sleep(ctx, loadInterval/4)
@@ -73,8 +75,31 @@
 	return nil
 }
 
+// caller makes one call after the other on a link.
+type caller struct {
+	*link
+	address grid.Address
+	answers chan received // holds one
+	silent  grclock.Millis
+}
+
+// do makes a call and reports whether its answer came in time and could be
+// read.
+func (c *caller) do(what *call) bool {
+	request, err := what.Request("", 0)
+	if err != nil || c.send(request, c.silent) != nil {
+		return false
+	}
+	select {
+	case got := <-c.answers:
+		return what.Reply(got.response, got.body).Kind == grleaf.OK
+	case <-c.ended:
+		return false
+	}
+}
+
 // serve uses the connection until it fails.
-func (c *control) serve(ctx context.Context, l *link) {
+func (c *control) serve(ctx context.Context, l *caller) {
 	alarm := c.pool.Clock.NewAlarm(loadInterval)
 	defer alarm.Stop()
 	for {
@@ -85,13 +110,12 @@
 			return
 		case attempt := <-c.cancels.Out():
 			body := grwire.Encode(grwire.CancelRequest{Caller: c.pool.Caller, Attempt: uint64(attempt)})
-			var ignored struct{}
-			if l.exchange(http.MethodPost, grwire.CancelPath, http.Header{}, body, c.pool.Silent, &ignored) != nil {
+			if !l.do(&call{method: http.MethodPost, path: grwire.CancelPath, address: c.address, body: body}) {
 				return
 			}
 		case <-alarm.C:
-			load, err := readLoad(l, c.pool.Silent)
-			if err != nil {
+			var load grwire.LoadReply
+			if !l.do(&call{method: http.MethodGet, path: grwire.LoadPath, address: c.address, into: &load}) {
 				return
 			}
 			c.pool.Report(Event{Kind: LoadRead, Searcher: c.id, Run: c.run, Load: load})
--- a/transport/grupstream/link.go
+++ b/transport/grupstream/link.go
@@ -2,120 +2,152 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"time"
 
-	"geraniumrouter/coordination/grleaf"
-	"geraniumrouter/protocol/grwire"
+	"golang.org/x/sys/unix"
+
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 )
 
-// closedIdle says that the other end closed a connection.
-type closedIdle struct{ address string }
-
-// Error describes the condition.
-func (e *closedIdle) Error() string { return fmt.Sprintf("%s closed the connection", e.address) }
+// received is an answer as it was read. clean tells that nothing stands behind
+// it on the connection, so that the next answer will be that of the next
+// request.
+type received struct {
+	response *http.Response
+	body     []byte
+	clean    bool
+}
 
 // link is a TCP connection that counts the bytes sent, so that "nothing was
 // sent" can be proved. One goroutine reads it all the time, so that an end of
-// the connection is seen at once, also while it is idle.
+// the connection and bytes that nobody asked for are seen at once, also while
+// it is idle.
 type link struct {
 	net.Conn
 	reader  *bufio.Reader
-	sent    int
-	answers chan []byte   // bodies that the reader got, one at a time
-	ended   chan struct{} // closed by the reader when the connection ends
+	sent    atomic.Int64
+	pending atomic.Pointer[http.Request] // sent and without an answer
+	ended   chan struct{}                // closed by the reader when the connection ends
 }
 
-// connect opens a connection and starts to read it.
-func (p *Pool) connect(ctx context.Context, address grid.Address) (*link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+// Spans after which the kernel gives up a connection whose other end is silent.
+const (
+	silentAfter   = 2 * grclock.Second // sent bytes that are not acknowledged
+	probeInterval = grclock.Second     // between two probes of an idle connection
+	probes        = 2                  // without an answer
+)
+
+// connect opens a connection and starts to read it. take gets each answer.
+func (p *Pool) connect(ctx context.Context, address grid.Address, take func(received)) (*link, error) {
+	dialer := net.Dialer{Timeout: dialTimeout.Duration(), Control: setUserTimeout}
+	dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable: true, Idle: probeInterval.Duration(), Interval: probeInterval.Duration(), Count: probes,
+	}
 	c, err := dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
-	l := &link{Conn: c, reader: bufio.NewReader(c), answers: make(chan []byte, 1), ended: make(chan struct{})}
+	l := &link{Conn: c, reader: bufio.NewReader(c), ended: make(chan struct{})}
 	p.Group.Start(func(context.Context) error {
-		l.read()
+		l.read(take)
 		return nil
 	})
 	return l, nil
 }
 
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
 // Write counts the bytes that were handed to the network.
 func (l *link) Write(data []byte) (int, error) {
 	n, err := l.Conn.Write(data)
-	l.sent += n
+	l.sent.Add(int64(n))
 	return n, err
 }
 
-// failure names the end of an attempt whose exchange failed.
-func (l *link) failure() grleaf.ReplyKind {
-	if l.sent == 0 {
-		return grleaf.Refused
+// send writes one request. Its answer goes to the function given to connect. A
+// connection that gives none within silent, if that is set, ends.
+func (l *link) send(request *http.Request, silent grclock.Millis) error {
+	l.sent.Store(0)
+	l.pending.Store(request)
+	if silent > 0 {
+		if err := l.SetDeadline(grclock.DeadlineIn(silent)); err != nil {
+			return err
+		}
 	}
-	return grleaf.LostReply
+	buffered := bufio.NewWriter(l)
+	if err := request.Write(buffered); err != nil {
+		return err
+	}
+	return buffered.Flush()
 }
 
-// read passes on the answers until the connection ends.
-func (l *link) read() {
+// read passes on the answers until the connection ends or bytes come that
+// answer no request.
+func (l *link) read(take func(received)) {
 	defer close(l.ended)
 	for {
-		body, err := l.readAnswer()
+		if _, err := l.reader.Peek(1); err != nil {
+			return
+		}
+		asked := l.pending.Swap(nil)
+		if asked == nil {
+			return
+		}
+		got, err := l.readAnswer(asked)
 		if err != nil {
 			return
 		}
-		l.answers <- body
+		if l.SetDeadline(time.Time{}) != nil {
+			return
+		}
+		take(got)
 	}
 }
 
-func (l *link) readAnswer() ([]byte, error) {
-	response, err := http.ReadResponse(l.reader, nil)
-	if err != nil {
-		return nil, err
+// readAnswer reads a whole answer, after those that only announce it.
+func (l *link) readAnswer(asked *http.Request) (got received, err error) {
+	for {
+		got.response, err = http.ReadResponse(l.reader, asked)
+		if err != nil {
+			return got, err
+		}
+		if got.response.StatusCode >= http.StatusOK || got.response.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
 	}
-	defer response.Body.Close()
-	return io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	defer got.response.Body.Close()
+	got.body, err = readBody(got.response)
+	got.clean = !got.response.Close && l.reader.Buffered() == 0
+	return got, err
 }
 
-// exchange sends one HTTP request and reads its answer into into. A connection
-// that gives no answer in time is of no use any more.
-func (l *link) exchange(method, path string, header http.Header, body []byte, silent grclock.Millis, into any) error {
-	if err := l.SetDeadline(grclock.DeadlineIn(silent)); err != nil {
-		return err
-	}
-	request, err := http.NewRequest(method, "http://"+l.RemoteAddr().String()+path, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header = header
-	buffered := bufio.NewWriter(l)
-	if err := request.Write(buffered); err != nil {
-		return err
+// readBody reads a body whole; one that ends before its stated length or is too
+// long is an error.
+func readBody(response *http.Response) ([]byte, error) {
+	if n := response.ContentLength; n >= 0 && n <= maxReplyBytes {
+		body := make([]byte, n)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
 	}
-	if err := buffered.Flush(); err != nil {
-		return err
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = &oversized{limit: maxReplyBytes}
 	}
-	select {
-	case answer := <-l.answers:
-		if err := json.Unmarshal(answer, into); err != nil {
-			return err
-		}
-		return l.SetDeadline(time.Time{})
-	case <-l.ended:
-		return &closedIdle{l.RemoteAddr().String()}
-	}
-}
-
-func readLoad(l *link, silent grclock.Millis) (grwire.LoadReply, error) {
-	var load grwire.LoadReply
-	err := l.exchange(http.MethodGet, grwire.LoadPath, http.Header{}, nil, silent, &load)
-	return load, err
+	return body, err
 }
--- a/transport/grupstream/pool.go
+++ b/transport/grupstream/pool.go
@@ -1,16 +1,16 @@
 // Package grupstream holds the connections to searchers. It carries out the
 // actions of the leaves, one goroutine per connection, and reports what came
-// of them as events.
+// of them as events. What is said on a connection is up to an Exchange.
 //
 //	pool := &grupstream.Pool{Group: group, Clock: clock, Report: events.Put}
-//	pool.Do(job)
+//	pool.Open(place, "127.0.0.1:8000")
+//	pool.Send(place, grupstream.Sending{Attempt: 1, Exchange: exchange, Remaining: 200})
 package grupstream
 
 import (
-	"context"
+	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/protocol/grwire"
@@ -18,7 +18,6 @@
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
 	"geraniumrouter/transport/grgroup"
-	"geraniumrouter/transport/grtrace"
 )
 
 // Place names a connection: the leaf, its searcher and the connection there.
@@ -52,10 +51,22 @@
 	Run      grid.Incarnation // for LoadRead
 }
 
-// Sending is a sub-request to be sent on a connection.
+// Exchange is the wire form of one attempt. Its methods are called on the
+// connection's goroutines, Request first.
+type Exchange interface {
+	// Request returns what is sent to the searcher.
+	Request(to grid.SearcherID, remaining grclock.Millis) (*http.Request, error)
+	// Reply reads the answer. The attempt and the connection's state are filled
+	// in by the pool; KeepConn false closes the connection in any case.
+	Reply(response *http.Response, body []byte) grleaf.Reply
+}
+
+// Sending is an attempt to be sent on a connection.
 type Sending struct {
-	Context context.Context // carries the trace
-	Request grwire.SearchRequest
+	Attempt   grid.AttemptID
+	Searcher  grid.SearcherID
+	Remaining grclock.Millis
+	Exchange  Exchange
 }
 
 // Limits of the connections.
@@ -66,12 +77,18 @@
 	maxReplyBytes = 64 << 20
 )
 
+// oversized says that an answer is longer than is taken.
+type oversized struct{ limit int }
+
+// Error describes the condition.
+func (e *oversized) Error() string { return fmt.Sprintf("answer of more than %d bytes", e.limit) }
+
 // Pool holds the connections to all searchers. Set the exported fields before
 // the first call.
 type Pool struct {
 	Group  *grgroup.Group
 	Clock  grclock.Clock
-	Silent grclock.Millis // an answer later than this ends the connection
+	Silent grclock.Millis // an answer later than this ends the connection; 0: no limit
 	Report func(Event)
 	Caller string // this instance and run, for searchers
 
@@ -105,10 +122,10 @@
 	p.Group.Start(c.run)
 }
 
-// Send sends a sub-request on an open connection and reports Replied.
+// Send sends an attempt on an open connection and reports Replied.
 func (p *Pool) Send(place Place, sending Sending) {
 	if !p.offer(place, job{kind: jobSend, sending: sending}) {
-		reply := grleaf.Reply{Attempt: grid.AttemptID(sending.Request.Attempt), Kind: grleaf.Refused}
+		reply := grleaf.Reply{Attempt: sending.Attempt, Kind: grleaf.Refused}
 		p.Report(Event{Kind: Replied, Place: place, Reply: reply})
 	}
 }
@@ -137,80 +154,3 @@
 	p.mu.Unlock()
 	return c != nil && c.jobs.Offer(j)
 }
-
-// conn is one connection to a searcher.
-type conn struct {
-	pool    *Pool
-	place   Place
-	address grid.Address
-	jobs    *grring.Ring[job]
-	closing atomic.Bool
-	mu      sync.Mutex
-	link    *link
-}
-
-func (c *conn) run(ctx context.Context) error {
-	l, err := c.pool.connect(ctx, c.address)
-	if err != nil {
-		c.pool.Report(Event{Kind: NotOpen, Place: c.place})
-		return nil
-	}
-	c.mu.Lock()
-	c.link = l
-	c.mu.Unlock()
-	defer l.Close()
-	if c.closing.Load() {
-		return nil
-	}
-	c.pool.Report(Event{Kind: Opened, Place: c.place})
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-l.ended:
-			c.pool.Report(Event{Kind: Ended, Place: c.place})
-			return nil
-		case j := <-c.jobs.Out():
-			if j.kind == jobClose {
-				return nil
-			}
-			c.do(l, j)
-		}
-	}
-}
-
-func (c *conn) do(l *link, j job) {
-	if j.kind == jobCheck {
-		_, err := readLoad(l, c.pool.Silent)
-		c.pool.Report(Event{Kind: Checked, Place: c.place, Healthy: err == nil})
-		return
-	}
-	reply := c.search(l, &j.sending)
-	c.pool.Report(Event{Kind: Replied, Place: c.place, Reply: reply})
-}
-
-// close ends the connection, also one that waits for an answer.
-func (c *conn) close() {
-	c.closing.Store(true)
-	c.mu.Lock()
-	if c.link != nil {
-		c.link.Close()
-	}
-	c.mu.Unlock()
-	c.jobs.Offer(job{kind: jobClose})
-}
-
-func (c *conn) search(l *link, sending *Sending) grleaf.Reply {
-	ctx, span := grtrace.Start(sending.Context, "searcher")
-	defer span.End()
-	asked := &sending.Request
-	l.sent = 0
-	var got grwire.SearchReply
-	header := http.Header{}
-	grtrace.Inject(ctx, header)
-	err := l.exchange(http.MethodPost, grwire.SearchPath, header, grwire.Encode(asked), c.pool.Silent, &got)
-	if err != nil {
-		return grleaf.Reply{Attempt: grid.AttemptID(asked.Attempt), Kind: l.failure()}
-	}
-	return grwire.ReplyFor(asked, &got)
-}
--- a/transport/grupstream/pool_test.go
+++ b/transport/grupstream/pool_test.go
@@ -66,7 +66,8 @@
 }
 
 func (r *rig) send(place Place) {
-	r.pool.Send(place, Sending{Context: context.Background(), Request: grwire.SearchRequest{Attempt: 7}})
+	exchange := &Search{Context: context.Background(), Asked: grwire.SearchRequest{Attempt: 7}}
+	r.pool.Send(place, Sending{Attempt: 7, Exchange: exchange})
 }
 
 // TestSilentConnection ends an attempt whose connection went silent, as one of
