--- a/cmd/geraniumrouter/daemon.go
+++ b/cmd/geraniumrouter/daemon.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	gradapter "geraniumrouter/platform"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grsettings"
 	"geraniumrouter/transport/grnode"
@@ -21,10 +22,12 @@
 	var serveFile, checkFile string
 	serve := newSub("serve", "Run an entry instance.")
 	serve.String(&serveFile, "s", "settings", "the INI file to start from")
+	platform := newSub("platform", "Run an entry instance on the users' platform, with the settings that it gives.")
 	check := newSub("check-settings", "Check a settings file and print every fault.")
 	check.AddPositionalValue(&checkFile, "FILE", 1, true, "the INI file")
 	return []command{
 		{serve, func() int { return runServe(serveFile) }},
+		{platform, runPlatform},
 		{check, func() int { return runCheck(checkFile) }},
 	}
 }
@@ -70,6 +73,17 @@
 	return exitDone
 }
 
+func runPlatform() int {
+	log, err := newLog("info")
+	if err != nil {
+		return misused(err)
+	}
+	if err := gradapter.Run(context.Background(), log); err != nil {
+		return failed(err)
+	}
+	return exitDone
+}
+
 func newLog(level string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -21,6 +21,7 @@
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grsnapshot"
+	"geraniumrouter/state/grtable"
 )
 
 // Message is what instances send each other.
@@ -46,6 +47,7 @@
 	Messages  []Outgoing
 	Active    *grpreset.Active  // a preset that is in force from now on
 	Maps      []*grsnapshot.Map // shard maps that are new
+	Table     *grtable.Table    // a routing table that is in force from now on
 	Searchers bool              // the searchers or shares changed
 	Members   bool              // the members or their states changed
 }
@@ -75,6 +77,11 @@
 	Load   int  // queries in flight, told to others
 	Push   bool // push changes at once, not only with heartbeats
 	Groups int  // sets of instances that share searchers; 0 stands for 1
+	// Unproven divides connection limits by the members that are not known to
+	// have ended, without waiting until each counts the others. It suits searchers
+	// that turn surplus connections away and instances that hold far fewer than
+	// their part.
+	Unproven bool
 
 	items      grspread.Map[Value] // kept equal on all instances
 	shares     grspread.Map[Value] // kept equal on the instances of one group
@@ -196,6 +203,41 @@
 	})
 }
 
+// TakeTable takes a routing table if its version is higher than the one held.
+func (c *Control) TakeTable(now grclock.Millis, t *grtable.Table, out *Out) {
+	c.with(out, func() {
+		c.put(now, tableKey, grspread.Version(t.Version), Value{Kind: TableKind, Table: t})
+	})
+}
+
+// AddSeeds adds peers to ask.
+func (c *Control) AddSeeds(seeds []grid.Address) {
+	for _, s := range seeds {
+		if !slices.Contains(c.Seeds, s) {
+			c.Seeds = append(c.Seeds, s)
+		}
+	}
+}
+
+// Table returns the routing table in force, or nil.
+func (c *Control) Table() *grtable.Table {
+	item, _ := c.items.Get(tableKey)
+	return item.Value.Table
+}
+
+// Open tells callers where this instance can be asked, once it can answer. With
+// an empty address they are not sent here any more.
+func (c *Control) Open(now grclock.Millis, callers grid.Address, out *Out) {
+	if c.Self.Callers == callers {
+		return
+	}
+	c.Self.Callers = callers
+	c.with(out, func() {
+		item, _ := c.items.Get(memberKey(c.Self.ID))
+		c.put(now, item.Key, after(item.Version, c.own), Value{Kind: MemberKind, Member: c.Self})
+	})
+}
+
 // Preset returns the switch in force.
 func (c *Control) Preset() (*grpreset.Active, bool) { return c.register.Active() }
 
@@ -242,10 +284,13 @@
 		}
 	case MapKind:
 		c.out.Maps = append(c.out.Maps, item.Value.Map)
+	case TableKind:
+		c.out.Table = item.Value.Table
 	case SearcherKind:
 		c.out.Searchers = true
 	case MemberKind:
 		c.stale, c.unreviewed, c.out.Members = true, true, true
+		c.out.Searchers = c.out.Searchers || c.Unproven
 		c.refute(now, item)
 	}
 }
@@ -280,12 +325,23 @@
 	if item.Value.Member.ID != c.Self.ID {
 		return
 	}
+	if c.Unproven && runOf(item.Version) > c.Self.Run {
+		c.outrun(now, runOf(item.Version))
+		return
+	}
 	state := StateOf(item.Version)
 	if runOf(item.Version) == c.Self.Run && state != c.own && (state == Suspect || state == Gone) {
 		c.setMember(now, c.Self.ID, c.own)
 	}
 }
 
+// outrun takes a later run than one that others know under this id. Runs are
+// numbered by the machine's date, which may have been set back between them.
+func (c *Control) outrun(now grclock.Millis, known grid.Incarnation) {
+	c.Self.Run = known + 1
+	c.put(now, memberKey(c.Self.ID), versionOf(c.Self.Run, 0, c.own), Value{Kind: MemberKind, Member: c.Self})
+}
+
 func (c *Control) setMember(now grclock.Millis, id grid.InstanceID, state State) {
 	item, ok := c.items.Get(memberKey(id))
 	if ok && StateOf(item.Version) != state {
--- a/coordination/grcontrol/searcher.go
+++ b/coordination/grcontrol/searcher.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"geraniumrouter/coordination/grspread"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 )
@@ -58,6 +59,18 @@
 	}
 }
 
+// TakeRevision takes what the platform held of a searcher at a revision. The
+// platform orders all its changes by one counter, so that what an instance read
+// late never undoes what another read since.
+func (c *Control) TakeRevision(now grclock.Millis, list []ListedSearcher, at []grid.Revision, out *Out) {
+	c.with(out, func() {
+		for i := range list {
+			version := grspread.Version(at[i])<<stateBits | grspread.Version(list[i].State)
+			c.put(now, searcherKey(list[i].ID), version, Value{Kind: SearcherKind, Searcher: list[i].Searcher})
+		}
+	})
+}
+
 // MarkLeaving notes that a searcher said of itself that it is leaving.
 func (c *Control) MarkLeaving(now grclock.Millis, id grid.SearcherID, run grid.Incarnation, out *Out) {
 	c.with(out, func() {
--- a/coordination/grcontrol/share.go
+++ b/coordination/grcontrol/share.go
@@ -10,7 +10,7 @@
 
 // review lets the divisor follow what is known of the others.
 func (c *Control) review(now grclock.Millis) {
-	if !c.unreviewed || c.own == Gone {
+	if !c.unreviewed || c.own == Gone || c.Unproven {
 		return
 	}
 	c.unreviewed = false
@@ -51,7 +51,12 @@
 
 // Divisor returns what connection limits are divided by, or 0 while no
 // connection may be held.
-func (c *Control) Divisor() int { return max(c.holding.Divisor, c.lowered) }
+func (c *Control) Divisor() int {
+	if c.Unproven {
+		return len(c.Members())
+	}
+	return max(c.holding.Divisor, c.lowered)
+}
 
 // Lowering returns the divisor that connections must come down to before the
 // others may take more, or 0.
--- a/coordination/grcontrol/value.go
+++ b/coordination/grcontrol/value.go
@@ -6,6 +6,7 @@
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grsnapshot"
+	"geraniumrouter/state/grtable"
 )
 
 // Kind tells what a value is about.
@@ -19,6 +20,7 @@
 	RegisteredKind                 // an id stands in the platform's list of members
 	PresetKind                     // the preset in force
 	MapKind                        // a shard map
+	TableKind                      // the routing table
 )
 
 // State is the state of a member or searcher.
@@ -65,6 +67,7 @@
 	Holding  grshare.Holding
 	Active   *grpreset.Active
 	Map      *grsnapshot.Map
+	Table    *grtable.Table
 }
 
 // Item is an entry of the map that instances keep equal.
@@ -102,4 +105,7 @@
 func registeredKey(id grid.InstanceID) grspread.Key { return grspread.Key("registered/" + id) }
 func mapKey(c grid.Collection) grspread.Key         { return grspread.Key("map/" + c) }
 
-const presetKey grspread.Key = "preset"
+const (
+	presetKey grspread.Key = "preset"
+	tableKey  grspread.Key = "table"
+)
--- a/coordination/grleaf/policy.go
+++ b/coordination/grleaf/policy.go
@@ -37,6 +37,23 @@
 	RoundRobin               // in turn
 )
 
+// RoutePolicy returns the policy for requests on routes: each carries its own
+// time to a second copy, every arrival at a searcher is paid, and a connection
+// ends by the deadline of its attempt or once nobody waits for the answer.
+func RoutePolicy() Policy {
+	p := DefaultPolicy()
+	p.AbandonRatio = 0
+	p.MaxAttempts = 2
+	p.SilentLimit = grclock.Minute
+	p.DropAfter = 400 * grclock.Millisecond
+	p.PayResends = true
+	p.FarFactor = 1.5
+	p.WindowPerSlot = 2
+	p.EjectAfter = 4
+	p.EjectFor = 500 * grclock.Millisecond
+	return p
+}
+
 // DefaultPolicy returns the policy used where a preset does not say otherwise.
 func DefaultPolicy() Policy {
 	return Policy{
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -54,6 +54,7 @@
 	Holding  *HoldingWire
 	Active   *ActiveWire
 	Map      *MapWire
+	Table    *TableWire
 }
 
 // MemberWire describes an entry instance.
@@ -168,6 +169,8 @@
 	case grcontrol.MapKind:
 		m := MapTo(v.Map)
 		w.Map = &m
+	case grcontrol.TableKind:
+		w.Table = TableTo(v.Table)
 	}
 	return w
 }
@@ -199,6 +202,8 @@
 			return item, false
 		}
 		v.Map = m
+	case v.Kind == grcontrol.TableKind && w.Table != nil:
+		v.Table = TableFrom(w.Table)
 	default:
 		return item, false
 	}
--- /dev/null
+++ b/state/granswer/greatest.go
@@ -0,0 +1,28 @@
+package granswer
+
+import (
+	"bytes"
+	"slices"
+)
+
+// Greatest returns the n greatest records of the bodies, the greatest first,
+// compared byte by byte. Equal records all count; a rest shorter than a record
+// is none.
+func Greatest(bodies [][]byte, width, n int) []byte {
+	total := 0
+	for _, b := range bodies {
+		total += len(b) / width
+	}
+	records := make([][]byte, 0, total)
+	for _, b := range bodies {
+		for ; len(b) >= width; b = b[width:] {
+			records = append(records, b[:width])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	out := make([]byte, 0, min(n, len(records))*width)
+	for _, r := range records[:min(n, len(records))] {
+		out = append(out, r...)
+	}
+	return out
+}
--- a/transport/grhttp/server.go
+++ b/transport/grhttp/server.go
@@ -30,6 +30,9 @@
 	Address grid.Address
 	Handler http.Handler
 	TLS     *tls.Config // nil for plain TCP
+	// CloseWithin bounds the wait for connections to end; 0 stands for half a
+	// minute. Connections that callers opened and never used are cut off then.
+	CloseWithin grclock.Millis
 }
 
 // Run serves until ctx ends.
@@ -50,9 +53,16 @@
 	group := grgroup.New(ctx)
 	group.Start(func(ctx context.Context) error {
 		<-ctx.Done()
-		closing, cancel := context.WithTimeout(context.Background(), closeTimeout.Duration())
+		within := s.CloseWithin
+		if within == 0 {
+			within = closeTimeout
+		}
+		closing, cancel := context.WithTimeout(context.Background(), within.Duration())
 		defer cancel()
-		return server.Shutdown(closing)
+		if server.Shutdown(closing) != nil {
+			return server.Close()
+		}
+		return nil
 	})
 	group.Start(func(context.Context) error {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync/atomic"
 
@@ -17,6 +18,7 @@
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grring"
+	"geraniumrouter/state/grtable"
 	"geraniumrouter/transport/grpeer"
 )
 
@@ -31,8 +33,9 @@
 	phase    atomic.Int32
 	phaseAt  grclock.Millis // start of the phase
 	watching atomic.Bool
-	sent     map[grid.Service]string // last list of searchers given to the router
-	watched  map[grid.Address]bool   // control connections that are open
+	sent     map[grid.Service][]grleaf.Searcher // last list of searchers given to the router
+	members  int                                // last number of members that the budget was divided by
+	watched  map[grid.Address]bool              // control connections that are open
 	states   map[grid.InstanceID]grcontrol.State
 	lowering int // divisor that the router was asked to come down to
 	released bool
@@ -50,6 +53,10 @@
 	leaving   *leavingEvent
 	lowered   int
 	drain     bool
+	table     *grtable.Table
+	searchers []grcontrol.ListedSearcher
+	revisions []grid.Revision // of searchers
+	seeds     []grid.Address
 	inspect   func(c *grcontrol.Control)
 }
 
@@ -75,21 +82,28 @@
 func (c *control) init() {
 	n := c.node
 	c.events = grring.New[controlEvent](controlRing)
-	c.sent = make(map[grid.Service]string)
+	c.sent = make(map[grid.Service][]grleaf.Searcher)
 	c.watched = make(map[grid.Address]bool)
 	c.states = make(map[grid.InstanceID]grcontrol.State)
 	c.drain.TTL = n.Settings.EntryTTL
+	callers := n.Settings.Callers
+	if n.Adapter != nil {
+		c.drain.TTL = max(n.Terms.LeaveFor-grdrain.Margin, 0)
+		callers = ""
+	}
 	c.watching.Store(true)
 	c.state = &grcontrol.Control{
 		Self: grcontrol.Member{
 			Member:  grshare.Member{ID: n.Settings.Instance, Run: n.run},
 			Peers:   n.Settings.Peers,
-			Callers: n.Settings.Callers,
+			Callers: callers,
 			Domain:  n.Settings.FailureDomain,
 		},
 		Seeds:  n.Settings.Seeds,
 		Random: grid.Random{State: uint64(n.run)},
 		Push:   true,
+
+		Unproven: n.Adapter != nil,
 	}
 }
 
@@ -160,6 +174,12 @@
 		c.state.Leave(now, true, &c.out)
 	case e.lowered > 0:
 		c.state.Lowered(now, e.lowered, &c.out)
+	case e.table != nil:
+		c.state.TakeTable(now, e.table, &c.out)
+	case e.searchers != nil:
+		c.state.TakeRevision(now, e.searchers, e.revisions, &c.out)
+	case e.seeds != nil:
+		c.state.AddSeeds(e.seeds)
 	case e.drain:
 		c.startDrain(now)
 	case e.inspect != nil:
@@ -222,7 +242,10 @@
 		c.node.tookMS.Store(int64(c.node.Clock.Now() - a.SwitchedAt))
 		c.node.post(event{kind: presetEvent, active: *a})
 	}
-	refresh := c.out.Searchers || c.out.Active != nil
+	if t := c.out.Table; t != nil {
+		c.takeTable(t)
+	}
+	refresh := c.out.Searchers || c.out.Active != nil || c.out.Table != nil
 	changed := c.out.Members
 	c.out.Reset()
 	if refresh {
@@ -231,6 +254,9 @@
 	if changed {
 		c.logStates()
 	}
+	if refresh || changed {
+		c.reviewRoutes(c.node.Clock.Now())
+	}
 }
 
 // logStates writes a line for each member whose state changed.
@@ -257,14 +283,20 @@
 	}
 	services := make(map[grid.Service][]grleaf.Searcher)
 	addresses := make(map[grid.SearcherID]grid.Address)
+	for name := range c.sent {
+		services[name] = nil
+	}
+	if t := c.state.Table(); t != nil {
+		for i := range t.Services {
+			services[t.Services[i].Name] = nil
+		}
+	}
 	for _, s := range c.state.Searchers() {
 		leaving := s.State != grcontrol.Live || resting["service "+string(s.Service)] || resting["searcher "+string(s.ID)]
-		share := c.shareOf(s.ConnLimit)
 		services[s.Service] = append(services[s.Service], grleaf.Searcher{
-			ID: s.ID, Domain: s.Domain, Slots: s.Slots, Share: max(share-1, 0), Leaving: leaving, Run: s.Run,
+			ID: s.ID, Domain: s.Domain, Slots: s.Slots, Share: c.searchShare(&s), Leaving: leaving, Run: s.Run,
 		})
 		addresses[s.ID] = s.Address
-		c.watchSearcher(s.Searcher, share > 1 && s.State != grcontrol.Gone)
 	}
 	for name, list := range services {
 		c.refreshService(name, list, addresses)
@@ -275,8 +307,30 @@
 	}
 }
 
-// shareOf divides a connection limit. One connection of the share carries
-// cancellations and load reads, the others searches.
+// searchShare returns the connections to a searcher that searches may use. In
+// the project's own protocol one of the share carries cancellations and load
+// reads.
+func (c *control) searchShare(s *grcontrol.ListedSearcher) int {
+	if c.node.Adapter == nil {
+		share := c.shareOf(s.ConnLimit)
+		c.watchSearcher(s.Searcher, share > 1 && s.State != grcontrol.Gone)
+		return max(share-1, 0)
+	}
+	if c.released {
+		return 0
+	}
+	share := leastShare
+	if t := c.state.Table(); t != nil {
+		share = max(share, c.shareOf(t.ConnLimit(s.Service)))
+	}
+	return share
+}
+
+// leastShare is the connections to a searcher of a service that the table does
+// not name yet, so that they are there when it does.
+const leastShare = 1
+
+// shareOf divides a connection limit.
 func (c *control) shareOf(limit int) int {
 	if c.released || c.state.Divisor() == 0 {
 		return 0
@@ -297,11 +351,10 @@
 }
 
 func (c *control) refreshService(name grid.Service, list []grleaf.Searcher, addresses map[grid.SearcherID]grid.Address) {
-	key := string(grwire.Encode(list))
-	if c.sent[name] == key {
+	if last, known := c.sent[name]; known && slices.Equal(last, list) {
 		return
 	}
-	c.sent[name] = key
+	c.sent[name] = list
 	own := make(map[grid.SearcherID]grid.Address, len(list))
 	for _, s := range list {
 		own[s.ID] = addresses[s.ID]
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -27,6 +27,8 @@
 	presetEvent
 	lowerEvent
 	inspectEvent
+	routeEvent
+	reserveEvent
 )
 
 // event is what the router's duty is told.
@@ -42,6 +44,7 @@
 	active    grpreset.Active
 	divisor   int // that connections must come down to, for lowerEvent
 	inspect   func(r *grrouter.Router)
+	reserve   float64 // extra sub-requests to a service that can be saved up
 }
 
 // ask is a query or request with the place for its result.
@@ -53,6 +56,7 @@
 	text       string
 	requestID  grid.RequestID
 	deadline   grclock.Millis
+	request    *RouteRequest          // for routeEvent
 	result     chan<- grrouter.Result // holds one
 }
 
@@ -109,7 +113,9 @@
 	l.carryOut(now)
 	if now >= l.checkAt {
 		l.checkAt = now + checkInterval
-		l.checkIdle()
+		if l.node.Adapter == nil {
+			l.checkIdle()
+		}
 		l.counts.copyFrom(l.router)
 	}
 }
@@ -121,6 +127,10 @@
 	case requestEvent:
 		request := grrouter.Request{Collection: e.ask.collection, Key: e.ask.key, Deadline: e.ask.deadline}
 		l.take(e.ask, l.router.StartRequest(now, request, &l.out))
+	case routeEvent:
+		l.take(e.ask, l.router.StartRoute(now, e.ask.request.RouteAsk, &l.out))
+	case reserveEvent:
+		l.router.SetReserve(e.reserve)
 	case cancelEvent:
 		l.router.Cancel(now, l.numbers[e.number], &l.out)
 	case upstreamEvent:
@@ -222,7 +232,9 @@
 	case grleaf.CloseConn:
 		l.node.pool.Close(place)
 	case grleaf.CancelAttempt:
-		l.node.pool.Cancel(address, a.Attempt)
+		if l.node.Adapter == nil {
+			l.node.pool.Cancel(address, a.Attempt)
+		}
 	case grleaf.Send:
 		l.send(place, a)
 	}
@@ -230,6 +242,12 @@
 
 func (l *loop) send(place grupstream.Place, a *grleaf.Action) {
 	ask := l.asks[a.Key.Query]
+	if ask.request != nil {
+		l.node.pool.Send(place, grupstream.Sending{
+			Attempt: a.Attempt, Searcher: a.ID, Remaining: a.Timeout, Exchange: ask.request.Exchange(),
+		})
+		return
+	}
 	shard, snapshot, ok := l.router.Describe(a.Key)
 	if !ok {
 		l.unsent = append(l.unsent, unsent{a.Service, a.Attempt})
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -16,12 +16,15 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
 	"geraniumrouter/state/grsettings"
+	"geraniumrouter/state/grtable"
 	"geraniumrouter/transport/grgroup"
 	"geraniumrouter/transport/grhttp"
 	"geraniumrouter/transport/grpeer"
@@ -36,6 +39,8 @@
 	Clock     grclock.Clock
 	Metrics   metrics.Registry // made by Run when nil
 	Terminate chan os.Signal   // a signal here starts a graceful shutdown
+	Adapter   Adapter          // nil for the project's own interface
+	Terms     RouteTerms       // with an Adapter
 
 	group    *grgroup.Group
 	platform *grplatform.Client
@@ -50,6 +55,8 @@
 	inFlight   atomic.Int64 // queries and requests being answered
 	tokens     atomic.Uint64
 	tookMS     atomic.Int64 // from the acceptance of the preset until in force here
+	table      atomic.Pointer[grtable.Table]
+	ready      atomic.Bool // with an Adapter: there is a table and a searcher
 	platformUp atomic.Bool
 }
 
@@ -75,6 +82,20 @@
 	n.group.Start(func(ctx context.Context) error { return peers.Serve(ctx, listener) })
 	n.group.Start(n.loop.run)
 	n.group.Start(n.control.run)
+	n.group.Start(n.awaitTermination)
+	if n.Adapter != nil {
+		for _, duty := range n.Adapter.Duties(n) {
+			n.group.Start(duty)
+		}
+	} else {
+		n.serveOwn(secure)
+	}
+	n.Log.Info("instance started", zap.String("instance", string(n.Settings.Instance)))
+	return n.group.Wait()
+}
+
+// serveOwn starts the duties of the project's own interface.
+func (n *Node) serveOwn(secure secure) {
 	n.group.Start(n.control.watchObjects)
 	n.group.Start(n.control.watchInstances)
 	n.group.Start(n.control.register)
@@ -85,11 +106,8 @@
 		Handler: grhttp.Operators(operatorDesk{n}, n.Settings.OperatorToken, n.Metrics),
 		TLS:     secure.operators,
 	}
-	n.group.Start(n.awaitTermination)
 	n.group.Start(callers.Run)
 	n.group.Start(operators.Run)
-	n.Log.Info("instance started", zap.String("instance", string(n.Settings.Instance)))
-	return n.group.Wait()
 }
 
 func (n *Node) prepare(ctx context.Context) {
@@ -100,12 +118,15 @@
 	n.group = grgroup.New(ctx)
 	n.events = grring.New[event](eventRing)
 	n.platform = &grplatform.Client{Addresses: n.Settings.Platform, Clock: n.Clock, Metrics: n.Metrics}
-	router := &grrouter.Router{Seed: grid.Hash(n.Settings.Instance) ^ uint64(n.run)}
-	router.Init()
+	router := n.newRouter()
+	silent := router.Policy.SilentLimit
+	if n.Adapter != nil {
+		silent = 0
+	}
 	n.pool = &grupstream.Pool{
 		Group:  n.group,
 		Clock:  n.Clock,
-		Silent: router.Policy.SilentLimit,
+		Silent: silent,
 		Caller: fmt.Sprintf("%s/%d", n.Settings.Instance, n.run),
 		Report: n.onUpstream,
 	}
@@ -122,6 +143,16 @@
 	n.control.init()
 }
 
+func (n *Node) newRouter() *grrouter.Router {
+	router := &grrouter.Router{Seed: grid.Hash(n.Settings.Instance) ^ uint64(n.run), Domain: n.Settings.FailureDomain}
+	if n.Adapter != nil {
+		router.Policy = grleaf.RoutePolicy()
+		router.ServiceBudget = grstat.Budget{Share: extraShareUsed * n.Terms.ExtraShare}
+	}
+	router.Init()
+	return router
+}
+
 // post hands an event to the router's duty.
 func (n *Node) post(e event) { n.events.Put(n.group.Context().Done(), e) }
 
--- /dev/null
+++ b/transport/grnode/routes.go
@@ -0,0 +1,108 @@
+package grnode
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"geraniumrouter/coordination/grcontrol"
+	"geraniumrouter/coordination/grdrain"
+	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+	"geraniumrouter/state/grtable"
+	"geraniumrouter/transport/grupstream"
+)
+
+// Adapter joins an instance to callers, searchers and a platform that have
+// names and wire forms of their own, in place of the project's interface. The
+// instance then answers requests on routes.
+type Adapter interface {
+	// Duties returns the duties that serve callers and follow the platform.
+	Duties(n *Node) []func(ctx context.Context) error
+}
+
+// RouteTerms holds the terms of an instance that answers requests on routes.
+type RouteTerms struct {
+	ExtraShare float64        // extra sub-requests to a service ÷ requests for it
+	ExtraCount float64        // extra sub-requests to a service beyond that share, over all instances
+	LeaveFor   grclock.Millis // span of a shutdown in which new requests are still taken
+}
+
+// RouteRequest is one request of a caller on a route.
+type RouteRequest struct {
+	grrouter.RouteAsk
+	ID       grid.RequestID
+	Exchange func() grupstream.Exchange // makes the wire form of an attempt
+}
+
+// Parts of the budget for extra work that an instance uses. The rest covers
+// what instances that have just ended spent.
+const (
+	extraShareUsed = 0.95
+	extraCountUsed = 0.8
+)
+
+// Route answers a request on a route. When the caller goes before its end, a
+// request that may be repeated is cancelled.
+func (n *Node) Route(ctx context.Context, request *RouteRequest) grrouter.Result {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	return n.ask(routeEvent, ask{ctx: ctx, request: request})
+}
+
+// Table returns the routing table in force, or nil.
+func (n *Node) Table() *grtable.Table { return n.table.Load() }
+
+// TakeTable hands over a routing table that was read from the platform.
+func (n *Node) TakeTable(t *grtable.Table) { n.control.post(controlEvent{table: t}) }
+
+// TakeSearchers hands over what the platform holds of searchers, each at the
+// revision of its last change.
+func (n *Node) TakeSearchers(list []grcontrol.ListedSearcher, at []grid.Revision) {
+	n.control.post(controlEvent{searchers: list, revisions: at})
+}
+
+// TakeSeeds hands over the addresses of other instances.
+func (n *Node) TakeSeeds(seeds []grid.Address) { n.control.post(controlEvent{seeds: seeds}) }
+
+// Watching reports whether it is this instance's turn to watch the platform.
+func (n *Node) Watching() bool { return n.control.watching.Load() }
+
+// Phase returns the phase of a graceful shutdown.
+func (n *Node) Phase() grdrain.Phase { return n.control.currentPhase() }
+
+// Ready reports whether callers may be sent here.
+func (n *Node) Ready() bool { return n.ready.Load() && n.Phase() == grdrain.Serving }
+
+// Entries returns the instances that callers may use, those of the failure
+// domain first.
+func (n *Node) Entries(domain grid.FailureDomain, seed uint64) []grcontrol.Member {
+	var list []grcontrol.Member
+	n.control.inspect(func(c *grcontrol.Control) { list = c.Entries(domain, seed) })
+	return list
+}
+
+// takeTable puts a routing table in force.
+func (c *control) takeTable(t *grtable.Table) {
+	c.node.table.Store(t)
+	c.node.Log.Info("table in force", zap.Uint64("version", uint64(t.Version)), zap.Int("routes", len(t.Routes)))
+}
+
+// reviewRoutes tells callers to come once there is a table and a searcher to ask, and
+// divides the budget for extra work among the members.
+func (c *control) reviewRoutes(now grclock.Millis) {
+	if c.node.Adapter == nil {
+		return
+	}
+	ready := c.state.Table() != nil && len(c.sent) > 0
+	if ready && !c.node.ready.Swap(true) {
+		c.state.Open(now, c.node.Settings.Callers, &c.out)
+		c.node.Log.Info("ready")
+	}
+	members := len(c.state.Members())
+	if members != c.members {
+		c.members = members
+		c.node.post(event{kind: reserveEvent, reserve: extraCountUsed * c.node.Terms.ExtraCount / float64(members)})
+	}
+}
--- a/transport/grupstream/link.go
+++ b/transport/grupstream/link.go
@@ -46,10 +46,8 @@
 
 // connect opens a connection and starts to read it. take gets each answer.
 func (p *Pool) connect(ctx context.Context, address grid.Address, take func(received)) (*link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration(), Control: setUserTimeout}
-	dialer.KeepAliveConfig = net.KeepAliveConfig{
-		Enable: true, Idle: probeInterval.Duration(), Interval: probeInterval.Duration(), Count: probes,
-	}
+	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+	EndSilent(&dialer)
 	c, err := dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
@@ -62,6 +60,15 @@
 	return l, nil
 }
 
+// EndSilent makes the kernel end connections of the dialer whose other end is
+// silent, within about three seconds.
+func EndSilent(dialer *net.Dialer) {
+	dialer.Control = setUserTimeout
+	dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable: true, Idle: probeInterval.Duration(), Interval: probeInterval.Duration(), Count: probes,
+	}
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
