--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -82,6 +82,7 @@
 	// that turn surplus connections away and instances that hold far fewer than
 	// their part.
 	Unproven bool
+	Watchers int // instances that watch the platform, over all; 0: one in each failure domain
 
 	items      grspread.Map[Value] // kept equal on all instances
 	shares     grspread.Map[Value] // kept equal on the instances of one group
@@ -232,10 +233,13 @@
 		return
 	}
 	c.Self.Callers = callers
-	c.with(out, func() {
-		item, _ := c.items.Get(memberKey(c.Self.ID))
-		c.put(now, item.Key, after(item.Version, c.own), Value{Kind: MemberKind, Member: c.Self})
-	})
+	c.with(out, func() { c.publishSelf(now) })
+}
+
+// publishSelf tells the others what changed about this instance.
+func (c *Control) publishSelf(now grclock.Millis) {
+	item, _ := c.items.Get(memberKey(c.Self.ID))
+	c.put(now, item.Key, after(item.Version, c.own), Value{Kind: MemberKind, Member: c.Self})
 }
 
 // Preset returns the switch in force.
--- a/coordination/grcontrol/heartbeat.go
+++ b/coordination/grcontrol/heartbeat.go
@@ -125,8 +125,12 @@
 }
 
 // Watches reports whether this instance watches the platform: one live member
-// of each failure domain does, the first in the order of hashes.
+// of each failure domain does, the first in the order of hashes. With Watchers
+// set so many of all members do.
 func (c *Control) Watches() bool {
+	if c.Watchers > 0 {
+		return c.Self.Blind || c.amongWatchers()
+	}
 	for _, m := range c.Members() {
 		if m.Domain == c.Self.Domain && (c.stateOf(m.ID) == Live || m.ID == c.Self.ID) {
 			return m.ID == c.Self.ID
@@ -134,3 +138,34 @@
 	}
 	return true
 }
+
+// amongWatchers reports whether this instance is one of the first live members
+// that reach the platform, no two of one failure domain.
+func (c *Control) amongWatchers() bool {
+	taken := make(map[grid.FailureDomain]bool)
+	for _, m := range c.Members() {
+		if m.ID != c.Self.ID && (c.stateOf(m.ID) != Live || m.Blind) || taken[m.Domain] {
+			continue
+		}
+		if m.ID == c.Self.ID {
+			return true
+		}
+		taken[m.Domain] = true
+		if len(taken) >= c.Watchers {
+			return false
+		}
+	}
+	return false
+}
+
+// Reach tells the others whether this instance reaches the platform. One that
+// does not leaves watching to others and goes on trying.
+func (c *Control) Reach(now grclock.Millis, reached bool, out *Out) {
+	if c.Self.Blind != reached {
+		return
+	}
+	c.with(out, func() {
+		c.Self.Blind = !reached
+		c.publishSelf(now)
+	})
+}
--- a/coordination/grcontrol/value.go
+++ b/coordination/grcontrol/value.go
@@ -44,6 +44,7 @@
 	Peers   grid.Address
 	Callers grid.Address
 	Domain  grid.FailureDomain
+	Blind   bool // does not reach the platform
 }
 
 // Searcher describes a searcher as the platform lists it.
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -63,6 +63,7 @@
 	Peers   string `json:"peers"`
 	Callers string `json:"callers"`
 	Domain  string `json:"failure_domain"`
+	Blind   bool   `json:"blind,omitempty"`
 }
 
 // SearcherWire describes a searcher.
@@ -212,14 +213,14 @@
 
 // MemberTo maps an entry instance to the wire.
 func MemberTo(m *grcontrol.Member) MemberWire {
-	return MemberWire{runTo(m.Member), string(m.Peers), string(m.Callers), string(m.Domain)}
+	return MemberWire{runTo(m.Member), string(m.Peers), string(m.Callers), string(m.Domain), m.Blind}
 }
 
 // MemberFrom maps an entry instance from the wire.
 func MemberFrom(w *MemberWire) grcontrol.Member {
 	return grcontrol.Member{
 		Member: runFrom(w.RunWire), Peers: grid.Address(w.Peers), Callers: grid.Address(w.Callers),
-		Domain: grid.FailureDomain(w.Domain),
+		Domain: grid.FailureDomain(w.Domain), Blind: w.Blind,
 	}
 }
 
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -57,6 +57,7 @@
 	searchers []grcontrol.ListedSearcher
 	revisions []grid.Revision // of searchers
 	seeds     []grid.Address
+	reach     *bool // whether the platform is reached
 	inspect   func(c *grcontrol.Control)
 }
 
@@ -105,6 +106,9 @@
 
 		Unproven: n.Adapter != nil,
 	}
+	if n.Adapter != nil {
+		c.state.Watchers = routeWatchers
+	}
 }
 
 func (c *control) run(ctx context.Context) error {
@@ -180,6 +184,8 @@
 		c.state.TakeRevision(now, e.searchers, e.revisions, &c.out)
 	case e.seeds != nil:
 		c.state.AddSeeds(e.seeds)
+	case e.reach != nil:
+		c.state.Reach(now, *e.reach, &c.out)
 	case e.drain:
 		c.startDrain(now)
 	case e.inspect != nil:
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -66,6 +66,13 @@
 // TakeSeeds hands over the addresses of other instances.
 func (n *Node) TakeSeeds(seeds []grid.Address) { n.control.post(controlEvent{seeds: seeds}) }
 
+// routeWatchers is the number of instances that watch the platform for all. Each
+// is enough; two, so that the loss of one is never waited for.
+const routeWatchers = 2
+
+// TakeReach notes whether the platform answers this instance.
+func (n *Node) TakeReach(reached bool) { n.control.post(controlEvent{reach: &reached}) }
+
 // Watching reports whether it is this instance's turn to watch the platform.
 func (n *Node) Watching() bool { return n.control.watching.Load() }
 
