A leaf in each failure domain: groups of shards asked by a peer of their domain

Change: shards without a searcher in the own domain are dealt to peers, one in each of as few domains as hold them; a peer says what it has just before an answer in part is due and keeps the rest, which is asked for where the required share is not in; a silent peer is passed by, straight, at a price paid from the budget, and shunned for a growing span. Dialers that end silent connections: grdial.

--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -37,6 +37,7 @@
 	Priority    int            // 0 goes first among those that wait
 	HedgeAfter  grclock.Millis // age of an attempt at which a second copy is sent; 0: by the policy
 	MaxAttempts int            // copies, the first included; 0: by the policy
+	Extra       bool           // the service may have got it already by another way; the budget pays
 }
 
 // Searcher describes one searcher of the service.
@@ -227,11 +228,12 @@
 // deadline ends as NotStarted.
 func (l *Leaf) Submit(now grclock.Millis, s Sub, out *Out) {
 	l.Counters.Submitted++
-	l.Hedges.Earn()
-	if l.Retries != l.Hedges {
-		l.Retries.Earn()
-	}
 	index := l.newSub(s)
+	if !l.paid(&s) {
+		l.subs[index].started = true
+		l.finish(index, Unknown, out)
+		return
+	}
 	l.enqueue(index)
 	if l.queue.Len() > l.Policy.MaxQueue {
 		l.finish(l.latestQueued(), NotStarted, out)
@@ -239,6 +241,19 @@
 	l.dispatch(now, out)
 }
 
+// paid earns for a sub-request that is the first at the service, and pays for
+// one that is not.
+func (l *Leaf) paid(s *Sub) bool {
+	if s.Extra {
+		return l.Retries.Spend()
+	}
+	l.Hedges.Earn()
+	if l.Retries != l.Hedges {
+		l.Retries.Earn()
+	}
+	return true
+}
+
 // Abandon ends a sub-request that its query no longer needs, without a Done.
 // It reports whether a searcher may have started it.
 func (l *Leaf) Abandon(now grclock.Millis, key SubKey, out *Out) (started bool) {
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -5,6 +5,7 @@
 
 	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
 )
 
 // replica is what a leaf knows of one searcher.
@@ -94,6 +95,16 @@
 	return max(1, float64(r.Slots)*l.Policy.WindowPerSlot)
 }
 
+// ServedIn reports whether a searcher in the failure domain may get new work.
+func (l *Leaf) ServedIn(domain grid.FailureDomain) bool {
+	for i := range l.replicas {
+		if r := &l.replicas[i]; r.Domain == domain && r.usable() {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether the searcher may get new work at all.
 func (r *replica) usable() bool { return r.present && !r.Leaving && !r.drained }
 
--- /dev/null
+++ b/coordination/grrouter/delegate.go
@@ -0,0 +1,331 @@
+package grrouter
+
+import (
+	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+)
+
+// Peer is another instance, which can ask the searchers of its failure domain
+// on behalf of this one, so that their answers cross between domains as one.
+type Peer struct {
+	ID     grid.InstanceID
+	Domain grid.FailureDomain
+}
+
+// Delegation asks a peer for the parts of a group of shards, or, with Rest, for
+// those that were missing from its first answer.
+type Delegation struct {
+	To       grid.InstanceID
+	Query    grid.QueryID
+	Group    int32
+	Services []grid.Service
+	CutAt    grclock.Millis // by which the peer must say what it has
+	Deadline grclock.Millis
+	Rest     bool
+	Want     int // parts that are needed of the rest
+}
+
+// GroupAnswer is what a peer says of a group.
+type GroupAnswer struct {
+	Parts  []Part // their bodies are merged: the first holds all records
+	More   bool   // the peer still waits for the other shards
+	Failed bool   // no answer came
+	Sent   bool   // after Failed: the peer may have started it
+}
+
+// Terms of delegations.
+const (
+	leastGroup = 2                         // shards that are worth a message to a peer
+	hopMargin  = 4 * grclock.Millisecond   // for the way back from a peer
+	shunFirst  = 500 * grclock.Millisecond // that a silent peer is passed by, doubled each time
+	shunSteps  = 4                         // doublings
+	restWait   = 150 * grclock.Millisecond // in which the rest must be asked for
+	peerGrace  = 15 * grclock.Millisecond  // after an answer in part is due, until a peer counts as silent
+)
+
+// peerState is what is known of a peer.
+type peerState struct {
+	Peer
+	silent    int // times in a row that it gave no answer
+	shunUntil grclock.Millis
+	dueAt     grclock.Millis // of the oldest delegation since its last answer; 0 without one
+}
+
+// group is the shards of a query that a peer asks.
+type group struct {
+	peer     grid.InstanceID
+	shards   []int32
+	open     bool // an answer may come
+	more     bool // the peer has a rest
+	restSent bool
+}
+
+// SetPeers replaces the peers that can be delegated to.
+func (r *Router) SetPeers(list []Peer) {
+	old := r.peers
+	r.peers = make([]peerState, len(list))
+	for i, p := range list {
+		r.peers[i].Peer = p
+		for _, o := range old {
+			if o.ID == p.ID {
+				r.peers[i] = o
+				r.peers[i].Domain = p.Domain
+			}
+		}
+	}
+}
+
+// delegate deals the shards without a searcher in the own failure domain to
+// peers, one in each of as few domains as hold them.
+func (r *Router) delegate(now grclock.Millis, q *query) {
+	d := q.routed
+	d.away = resized(d.away, len(q.leaves))
+	if len(r.peers) == 0 || len(q.leaves) < leastGroup {
+		return
+	}
+	reach := r.reachable(now)
+	far := r.farShards(q)
+	for len(far) >= leastGroup && len(reach) > 0 {
+		best := r.bestDomain(q, far, reach)
+		peer, known := reach[best]
+		if !known {
+			return
+		}
+		delete(reach, best)
+		g := group{peer: peer, open: true}
+		far, g.shards = r.partShards(q, far, best)
+		if len(g.shards) < leastGroup {
+			continue
+		}
+		for _, i := range g.shards {
+			d.away[i] = true
+		}
+		d.groups = append(d.groups, g)
+	}
+}
+
+// reachable returns a peer for each other failure domain, drawn from those that
+// answer.
+func (r *Router) reachable(now grclock.Millis) map[grid.FailureDomain]grid.InstanceID {
+	reach := make(map[grid.FailureDomain]grid.InstanceID)
+	count := make(map[grid.FailureDomain]int)
+	for i := range r.peers {
+		p := &r.peers[i]
+		if p.dueAt > 0 && now > p.dueAt {
+			r.notePeer(now, p.ID, false)
+		}
+		if p.shunUntil > now || p.Domain == r.Domain {
+			continue
+		}
+		count[p.Domain]++
+		if r.random.Below(count[p.Domain]) == 0 {
+			reach[p.Domain] = p.ID
+		}
+	}
+	return reach
+}
+
+// farShards returns the shards without a searcher in the own failure domain.
+func (r *Router) farShards(q *query) []int32 {
+	var far []int32
+	for i, leaf := range q.leaves {
+		if !r.leaves[leaf].ServedIn(r.Domain) {
+			far = append(far, int32(i))
+		}
+	}
+	return far
+}
+
+// bestDomain returns the domain that holds the most of the shards, with some
+// chance for the others, so that the work spreads.
+func (r *Router) bestDomain(q *query, far []int32, reach map[grid.FailureDomain]grid.InstanceID) grid.FailureDomain {
+	var best grid.FailureDomain
+	bestScore := 0.0
+	for i := range r.peers {
+		domain := r.peers[i].Domain
+		if _, known := reach[domain]; !known {
+			continue
+		}
+		held := 0
+		for _, shard := range far {
+			if r.leaves[q.leaves[shard]].ServedIn(domain) {
+				held++
+			}
+		}
+		if score := float64(held) * (1 + r.random.Float()); score > bestScore {
+			best, bestScore = domain, score
+		}
+	}
+	return best
+}
+
+// partShards divides the shards into those that a domain does not hold, and
+// those that it does.
+func (r *Router) partShards(q *query, far []int32, domain grid.FailureDomain) (others, held []int32) {
+	for _, shard := range far {
+		if r.leaves[q.leaves[shard]].ServedIn(domain) {
+			held = append(held, shard)
+		} else {
+			others = append(others, shard)
+		}
+	}
+	return others, held
+}
+
+// sendGroups adds the delegations of a query to the actions.
+func (r *Router) sendGroups(q *query, out *Out) {
+	d := q.routed
+	for i := range d.groups {
+		g := &d.groups[i]
+		services := make([]grid.Service, len(g.shards))
+		for k, shard := range g.shards {
+			services[k] = d.services[shard]
+		}
+		r.Counters.Delegated++
+		r.expect(g.peer, d.cutAt+peerGrace)
+		out.Delegations = append(out.Delegations, Delegation{
+			To: g.peer, Query: q.id, Group: int32(i), Services: services, CutAt: d.cutAt - hopMargin, Deadline: q.deadline - hopMargin,
+		})
+	}
+}
+
+// GroupDone takes the answer of a peer to a delegation.
+func (r *Router) GroupDone(now grclock.Millis, peer grid.InstanceID, id grid.QueryID, index int32, answer *GroupAnswer, out *Out) {
+	r.notePeer(now, peer, !answer.Failed)
+	q := r.queries[id]
+	if q == nil || q.routed == nil || int(index) >= len(q.routed.groups) {
+		return
+	}
+	g := &q.routed.groups[index]
+	if !g.open {
+		return
+	}
+	if answer.Failed {
+		r.askStraight(now, q, g, answer.Sent, out)
+		r.endRouteIfDue(now, q, out)
+		return
+	}
+	r.takeGroup(q, g, answer)
+	r.askRest(now, q, out)
+	r.endRouteIfDue(now, q, out)
+}
+
+// takeGroup merges the parts of a group. Those that are missing for good count
+// as failed.
+func (r *Router) takeGroup(q *query, g *group, answer *GroupAnswer) {
+	d := q.routed
+	for _, p := range answer.Parts {
+		for _, shard := range g.shards {
+			if d.services[shard] == p.Service && !q.settled[shard] {
+				q.settled[shard] = true
+				q.open--
+				q.started = true
+				d.parts = append(d.parts, p)
+			}
+		}
+	}
+	g.more = answer.More
+	if answer.More {
+		return
+	}
+	g.open = false
+	for _, shard := range g.shards {
+		if !q.settled[shard] {
+			q.settled[shard] = true
+			q.open--
+			q.started = true
+			d.failed++
+		}
+	}
+}
+
+// askStraight sends the sub-requests of a group that a peer did not answer. If
+// the peer may have sent them, each is one more arrival at its service, and one
+// attempt is used up.
+func (r *Router) askStraight(now grclock.Millis, q *query, g *group, sent bool, out *Out) {
+	d := q.routed
+	g.open, g.more = false, false
+	q.started = q.started || sent
+	r.Counters.Undelegated++
+	q.submitting = true
+	for _, shard := range g.shards {
+		if q.settled[shard] {
+			continue
+		}
+		d.away[shard] = false
+		leaf := q.leaves[shard]
+		sub := r.subOf(q, grleaf.SubKey{Query: q.id, Shard: shard})
+		if sent {
+			sub.Extra = true
+			sub.MaxAttempts = max(sub.MaxAttempts-1, 1)
+		}
+		r.leaves[leaf].Submit(now, sub, &out.leaf)
+		r.settle(now, leaf, out)
+	}
+	q.submitting = false
+}
+
+// askRest asks peers for the rest of their groups when an answer in part is due
+// and the required share is not in.
+func (r *Router) askRest(now grclock.Millis, q *query, out *Out) {
+	d := q.routed
+	want := d.needed() - len(d.parts)
+	if now < d.cutAt-hopMargin || want <= 0 {
+		return
+	}
+	for i := range d.groups {
+		g := &d.groups[i]
+		if !g.open || !g.more || g.restSent {
+			continue
+		}
+		g.restSent = true
+		out.Delegations = append(out.Delegations, Delegation{
+			To: g.peer, Query: q.id, Group: int32(i), Deadline: q.deadline - hopMargin, Rest: true, Want: want,
+		})
+	}
+}
+
+// passSilent goes past peers that have said nothing although an answer in part
+// was due a while ago.
+func (r *Router) passSilent(now grclock.Millis, q *query, out *Out) {
+	if now < q.routed.cutAt+peerGrace {
+		return
+	}
+	for i := range q.routed.groups {
+		g := &q.routed.groups[i]
+		if g.open && !g.more {
+			r.notePeer(now, g.peer, false)
+			r.askStraight(now, q, g, true, out)
+		}
+	}
+}
+
+// expect notes by when a peer must say something.
+func (r *Router) expect(id grid.InstanceID, dueAt grclock.Millis) {
+	for i := range r.peers {
+		if p := &r.peers[i]; p.ID == id && p.dueAt == 0 {
+			p.dueAt = dueAt
+		}
+	}
+}
+
+// notePeer keeps whether a peer answers. One that does not is passed by for a
+// while.
+func (r *Router) notePeer(now grclock.Millis, id grid.InstanceID, answered bool) {
+	for i := range r.peers {
+		p := &r.peers[i]
+		if p.ID != id {
+			continue
+		}
+		p.dueAt = 0
+		if answered {
+			p.silent, p.shunUntil = 0, 0
+			return
+		}
+		if p.shunUntil <= now {
+			p.shunUntil = now + shunFirst<<min(p.silent, shunSteps)
+			p.silent++
+		}
+	}
+}
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -173,7 +173,7 @@
 	q.submitting = true
 	run := q.reruns
 	for i := range q.settled {
-		if q.settled[i] {
+		if q.settled[i] || q.isAway(i) {
 			continue
 		}
 		leaf := q.leaves[i]
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -17,6 +17,8 @@
 	Services []grid.Service // the shards to ask, of one target; empty: the target that is due
 	Deadline grclock.Millis // of the caller
 	Elapsed  grclock.Millis // of the time aimed at, before the request came here
+	Group    bool           // the shards are a group that a peer delegated; what is in goes out at CutAt
+	CutAt    grclock.Millis // of a group
 }
 
 // Part is what one shard answered.
@@ -53,8 +55,19 @@
 	failure  *granswer.Answer
 	cutAt    grclock.Millis
 	failed   int // shards that ended without a part
+
+	groups []group // shards that peers ask
+	away   []bool  // shards of open groups
+
+	partial   bool           // this is a group of another instance
+	told      int            // parts that were handed out already
+	want      int            // parts that were asked for of the rest
+	holdUntil grclock.Millis // end of the time in which the rest can be asked for; 0 before
 }
 
+// isAway reports whether a peer asks the shard.
+func (q *query) isAway(shard int) bool { return q.routed != nil && q.routed.away[shard] }
+
 // needed is the number of parts that an answer must have.
 func (d *routed) needed() int {
 	if !d.route.AllShards {
@@ -86,19 +99,45 @@
 	}
 	q.settled = resized(q.settled, len(q.leaves))
 	q.open = len(q.leaves)
+	if ask.Group {
+		q.routed.away = resized(q.routed.away, len(q.leaves))
+	} else {
+		r.delegate(now, q)
+	}
 	if q.routed.cutAt < q.deadline {
 		r.deadlines.Push(timer{q.routed.cutAt, q.id})
 	}
+	if len(q.routed.groups) > 0 {
+		r.deadlines.Push(timer{q.routed.cutAt + peerGrace, q.id})
+	}
+	r.sendGroups(q, out)
 	r.submit(now, q, out)
 	return q.id
 }
 
+// AskRest keeps a group going after its first result, until so many more parts
+// are in or nothing more can come. It reports false when the group has ended.
+func (r *Router) AskRest(now grclock.Millis, id grid.QueryID, want int, out *Out) bool {
+	q := r.queries[id]
+	if q == nil || q.routed == nil || q.routed.holdUntil == 0 {
+		return false
+	}
+	q.routed.want = max(want, 1)
+	r.endRouteIfDue(now, q, out)
+	return true
+}
+
 // plan chooses the services that are asked and the time of an answer in part.
 func (r *Router) plan(now grclock.Millis, ask *RouteAsk) *routed {
 	d := &routed{route: ask.Route, services: ask.Services}
 	if len(d.services) == 0 {
 		d.services = ask.Route.Targets[r.splitOf(ask).next(ask.Route.Targets)].Services
 	}
+	d.partial = ask.Group
+	if ask.Group {
+		d.cutAt = ask.CutAt
+		return d
+	}
 	p := &r.RoutePolicy
 	d.cutAt = now - ask.Elapsed + grclock.Millis(p.Cut*float64(ask.Route.Objective)) - p.CutMargin
 	return d
@@ -187,6 +226,17 @@
 // time for an answer in part has come.
 func (r *Router) endRouteIfDue(now grclock.Millis, q *query, out *Out) {
 	d := q.routed
+	if r.queries[q.id] != q {
+		return
+	}
+	if d.partial {
+		r.endGroupIfDue(now, q, out)
+		return
+	}
+	if now >= d.cutAt && len(d.parts) < d.needed() && q.open > 0 && len(d.groups) > 0 {
+		r.passSilent(now, q, out)
+		r.askRest(now, q, out)
+	}
 	needed := d.needed()
 	switch {
 	case q.open == 0,
@@ -196,11 +246,35 @@
 	}
 }
 
+// endGroupIfDue ends a group when every shard has ended, or says what is in
+// when its time has come.
+func (r *Router) endGroupIfDue(now grclock.Millis, q *query, out *Out) {
+	d := q.routed
+	switch {
+	case q.open == 0:
+		r.finish(now, q, out)
+	case d.want > 0:
+		if len(d.parts)-d.told >= d.want {
+			r.finish(now, q, out)
+		}
+	case d.holdUntil == 0 && now >= d.cutAt:
+		result := Result{ID: q.id, Outcome: Partial, Parts: d.parts, Asked: len(d.services), More: true}
+		out.Results = append(out.Results, result)
+		d.told = len(d.parts)
+		d.holdUntil = now + restWait
+		r.deadlines.Push(timer{d.holdUntil, q.id})
+	case d.holdUntil > 0 && now >= d.holdUntil:
+		r.finish(now, q, out)
+	}
+}
+
 // judgeRoute decides on the outcome of a request on a route.
 func (r *Router) judgeRoute(q *query, result *Result) {
 	d := q.routed
 	result.Parts, result.Failure, result.Asked = d.parts, d.failure, len(d.services)
 	switch {
+	case d.partial:
+		result.Outcome, result.Parts = Partial, d.parts[d.told:]
 	case len(d.parts) == len(d.services):
 		result.Outcome = Complete
 	case len(d.parts) >= d.needed():
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -75,22 +75,27 @@
 	Failure    *granswer.Answer // of requests on routes: the failure a searcher answered with, if any
 	Asked      int              // of requests on routes: shards that make up a whole answer
 	RetryAfter grclock.Millis   // after NotRun: when to come back
+	More       bool             // of a group: the rest may be asked for, and another result follows
 }
 
 // Out collects what a call decided. Callers reuse it to keep its memory.
 type Out struct {
-	Actions []grleaf.Action
-	Results []Result
-	leaf    grleaf.Out
+	Actions     []grleaf.Action
+	Results     []Result
+	Delegations []Delegation
+	leaf        grleaf.Out
 }
 
 // Reset empties the lists.
-func (o *Out) Reset() { o.Actions, o.Results = o.Actions[:0], o.Results[:0] }
+func (o *Out) Reset() {
+	o.Actions, o.Results, o.Delegations = o.Actions[:0], o.Results[:0], o.Delegations[:0]
+}
 
 // Counters count what the router did since it was made.
 type Counters struct {
 	Queries, Complete, Partial, NotRun, Unknown uint64
 	Reruns, Refused, Malformed, Cancelled       uint64
+	Delegated, Undelegated                      uint64 // groups of shards
 }
 
 // Add sums the counters of another router into c.
@@ -104,6 +109,8 @@
 	c.Refused += o.Refused
 	c.Malformed += o.Malformed
 	c.Cancelled += o.Cancelled
+	c.Delegated += o.Delegated
+	c.Undelegated += o.Undelegated
 }
 
 // Router runs the queries of one instance. Set the exported fields before
@@ -139,6 +146,8 @@
 	splits       map[string]*split // by route, of the newest table
 	splitVersion grtable.Version
 	budgets      []*grstat.Budget // of the services, where each has its own
+	peers        []peerState
+	random       grid.Random
 }
 
 type timer struct {
@@ -171,6 +180,7 @@
 		r.RoutePolicy = DefaultRoutePolicy()
 	}
 	r.splits = make(map[string]*split)
+	r.random.State = grid.Mix(r.Seed)
 	r.setBudgets()
 	r.hedges.Fill()
 	r.retries.Fill()
--- /dev/null
+++ b/protocol/grwire/gather.go
@@ -0,0 +1,34 @@
+package grwire
+
+// GatherAsk asks an instance for the parts of a group of shards, or for the
+// rest of such a group. It is encoded by encoding/gob.
+type GatherAsk struct {
+	From  string // the asking run
+	Query uint64
+	Group int32
+
+	Rest bool // the parts that were missing from the first answer
+	Want int  // of them are needed
+
+	Route       RouteWire // with the terms only
+	Services    []string
+	CutMS       int64 // until the instance must say what it has
+	RemainingMS int64
+	Method      string
+	Target      string // path and query
+	Host        string
+	Header      []FieldWire
+	Body        []byte
+}
+
+// FieldWire is a header field.
+type FieldWire struct{ Name, Value string }
+
+// GatherAnswer holds the parts of a group. Their records are merged.
+type GatherAnswer struct {
+	Services   []string
+	Signatures []string
+	Body       []byte // the greatest records of all these parts
+	More       bool   // the rest may be asked for
+	Refused    bool   // nothing was started
+}
--- a/protocol/grwire/table.go
+++ b/protocol/grwire/table.go
@@ -65,7 +65,7 @@
 		HeaderTimeout: grclock.Millis(w.Limits.HeaderTimeoutMS), IdleTimeout: grclock.Millis(w.Limits.IdleTimeoutMS),
 	}}
 	for i := range w.Routes {
-		t.Routes = append(t.Routes, routeFrom(&w.Routes[i]))
+		t.Routes = append(t.Routes, RouteFrom(&w.Routes[i]))
 	}
 	for _, s := range w.Services {
 		t.Services = append(t.Services, grtable.Service{Name: grid.Service(s.Name), ConnLimit: s.ConnLimit})
@@ -74,19 +74,25 @@
 	return t
 }
 
-func routeTo(r *grtable.Route) RouteWire {
-	w := RouteWire{
+// RouteTerms maps the terms of a route to the wire, without its targets.
+func RouteTerms(r *grtable.Route) RouteWire {
+	return RouteWire{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Idempotent: r.Idempotent, AllShards: r.AllShards,
 		TimeoutMS: int64(r.Timeout), ObjectiveMS: int64(r.Objective),
 		MaxAttempts: r.MaxAttempts, Priority: r.Priority, MinShare: r.MinShare, Top: r.Top,
 	}
+}
+
+func routeTo(r *grtable.Route) RouteWire {
+	w := RouteTerms(r)
 	for _, target := range r.Targets {
 		w.Targets = append(w.Targets, TargetWire{target.Weight, namesOf(target.Services)})
 	}
 	return w
 }
 
-func routeFrom(w *RouteWire) grtable.Route {
+// RouteFrom maps a route from the wire.
+func RouteFrom(w *RouteWire) grtable.Route {
 	r := grtable.Route{
 		Name: w.Name, Host: w.Host, Prefix: w.Prefix, Idempotent: w.Idempotent, AllShards: w.AllShards,
 		Timeout: grclock.Millis(w.TimeoutMS), Objective: grclock.Millis(w.ObjectiveMS),
--- /dev/null
+++ b/transport/grnode/gather.go
@@ -0,0 +1,199 @@
+package grnode
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"go.uber.org/zap"
+
+	"geraniumrouter/coordination/grcontrol"
+	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/protocol/grwire"
+	"geraniumrouter/state/granswer"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
+	"geraniumrouter/state/grtable"
+	"geraniumrouter/transport/grpeer"
+)
+
+// gatherKey names a group that another instance delegated.
+type gatherKey struct {
+	from  string
+	query uint64
+	group int32
+}
+
+// gathered is such a group between its first answer and the rest.
+type gathered struct {
+	number   uint64
+	results  chan grrouter.Result
+	deadline grclock.Millis
+	top      int
+}
+
+// onGather answers a peer's call for the parts of a group.
+func (n *Node) onGather(asked grwire.GatherAsk) grwire.GatherAnswer {
+	key := gatherKey{asked.From, asked.Query, asked.Group}
+	if asked.Rest {
+		return n.gatherRest(key, asked.Want)
+	}
+	request, err := n.gatherRequest(&asked)
+	if err != nil {
+		n.Log.Warn("group refused", zap.Error(err))
+		return grwire.GatherAnswer{Refused: true}
+	}
+	g := &gathered{
+		number: n.tokens.Add(1), results: make(chan grrouter.Result, 2),
+		deadline: request.Deadline, top: request.Route.Top,
+	}
+	a := ask{ctx: context.Background(), number: g.number, request: request, result: g.results}
+	if !n.events.Offer(event{kind: routeEvent, ask: a}) {
+		return grwire.GatherAnswer{Refused: true}
+	}
+	answer, more := n.awaitGroup(g)
+	if more {
+		n.keepGroup(key, g)
+	}
+	return answer
+}
+
+// gatherRequest rebuilds the caller's request. The terms of its route come with
+// it, so that the table in force here does not matter.
+func (n *Node) gatherRequest(asked *grwire.GatherAsk) (*RouteRequest, error) {
+	target, err := url.ParseRequestURI(asked.Target)
+	if err != nil {
+		return nil, err
+	}
+	header := make(http.Header, len(asked.Header))
+	for _, f := range asked.Header {
+		header[f.Name] = append(header[f.Name], f.Value)
+	}
+	now := n.Clock.Now()
+	route := grwire.RouteFrom(&asked.Route)
+	request := &RouteRequest{
+		RouteAsk: grrouter.RouteAsk{
+			Table: &grtable.Table{}, Route: &route, Group: true,
+			CutAt: now + grclock.Millis(asked.CutMS), Deadline: now + grclock.Millis(asked.RemainingMS),
+		},
+		Asked: &http.Request{Method: asked.Method, URL: target, Host: asked.Host, Header: header},
+		Body:  asked.Body,
+	}
+	for _, name := range asked.Services {
+		request.Services = append(request.Services, grid.Service(name))
+	}
+	return request, nil
+}
+
+// awaitGroup waits for the next result of a group; more tells that another
+// follows if the rest is asked for.
+func (n *Node) awaitGroup(g *gathered) (answer grwire.GatherAnswer, more bool) {
+	select {
+	case result := <-g.results:
+		if result.Outcome == grrouter.NotRun {
+			return grwire.GatherAnswer{Refused: true}, false
+		}
+		return n.gatherAnswer(&result, g.top), result.More
+	case <-n.group.Context().Done():
+		return grwire.GatherAnswer{Refused: true}, false
+	}
+}
+
+func (n *Node) gatherAnswer(result *grrouter.Result, top int) grwire.GatherAnswer {
+	answer := grwire.GatherAnswer{More: result.More}
+	bodies := make([][]byte, len(result.Parts))
+	for i, p := range result.Parts {
+		answer.Services = append(answer.Services, string(p.Service))
+		answer.Signatures = append(answer.Signatures, p.Answer.Signature)
+		bodies[i] = p.Answer.Body
+	}
+	answer.Body = n.Adapter.Merge(bodies, top)
+	return answer
+}
+
+// keepGroup keeps a group whose rest may be asked for, and forgets those whose
+// time is over.
+func (n *Node) keepGroup(key gatherKey, g *gathered) {
+	n.gatherMu.Lock()
+	defer n.gatherMu.Unlock()
+	if n.gathering == nil {
+		n.gathering = make(map[gatherKey]*gathered)
+	}
+	now := n.Clock.Now()
+	for k, other := range n.gathering {
+		if other.deadline < now {
+			delete(n.gathering, k)
+		}
+	}
+	n.gathering[key] = g
+}
+
+// gatherRest answers a call for the parts that were missing before.
+func (n *Node) gatherRest(key gatherKey, want int) grwire.GatherAnswer {
+	n.gatherMu.Lock()
+	g := n.gathering[key]
+	delete(n.gathering, key)
+	n.gatherMu.Unlock()
+	if g == nil {
+		return grwire.GatherAnswer{}
+	}
+	n.post(event{kind: restEvent, number: g.number, want: want})
+	answer, _ := n.awaitGroup(g)
+	return answer
+}
+
+// delegate sends a group of shards to a peer.
+func (l *loop) delegate(now grclock.Millis, d *grrouter.Delegation) {
+	a, ok := l.asks[d.Query]
+	if !ok || a.request == nil {
+		return
+	}
+	asked := &grwire.GatherAsk{
+		From: l.node.pool.Caller, Query: uint64(d.Query), Group: d.Group, Rest: d.Rest, Want: d.Want,
+		CutMS: int64(d.CutAt - now), RemainingMS: int64(d.Deadline - now),
+	}
+	if !d.Rest {
+		request := a.request
+		asked.Route = grwire.RouteTerms(request.Route)
+		asked.Method, asked.Host, asked.Body = request.Asked.Method, request.Asked.Host, request.Body
+		asked.Target = request.Asked.URL.RequestURI()
+		for name, values := range request.Asked.Header {
+			for _, v := range values {
+				asked.Header = append(asked.Header, grwire.FieldWire{Name: name, Value: v})
+			}
+		}
+		for _, s := range d.Services {
+			asked.Services = append(asked.Services, string(s))
+		}
+	}
+	l.node.gathers.Send(d.To, l.peers[d.To], asked)
+}
+
+// gatherDone takes what a peer said of a group.
+func (l *loop) gatherDone(now grclock.Millis, e *grpeer.GatherEvent) {
+	answer := grrouter.GroupAnswer{Failed: true, Sent: e.Sent}
+	if a := e.Answer; a != nil && !a.Refused && len(a.Services) == len(a.Signatures) {
+		answer = grrouter.GroupAnswer{More: a.More}
+		for i := range a.Services {
+			part := grrouter.Part{Service: grid.Service(a.Services[i]), Answer: &granswer.Answer{Status: http.StatusOK, Signature: a.Signatures[i]}}
+			if i == 0 {
+				part.Answer.Body = a.Body
+			}
+			answer.Parts = append(answer.Parts, part)
+		}
+	}
+	l.router.GroupDone(now, e.To, grid.QueryID(e.Ask.Query), e.Ask.Group, &answer, &l.out)
+}
+
+// setPeers tells the router which instances it can delegate to.
+func (l *loop) setPeers(members []grcontrol.Member) {
+	l.peers = make(map[grid.InstanceID]grid.Address, len(members))
+	peers := make([]grrouter.Peer, 0, len(members))
+	for _, m := range members {
+		if m.ID != l.node.Settings.Instance {
+			l.peers[m.ID] = m.Peers
+			peers = append(peers, grrouter.Peer{ID: m.ID, Domain: m.Domain})
+		}
+	}
+	l.router.SetPeers(peers)
+}
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/protocol/grwire"
@@ -12,6 +13,7 @@
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grsnapshot"
+	"geraniumrouter/transport/grpeer"
 	"geraniumrouter/transport/grupstream"
 )
 
@@ -29,6 +31,9 @@
 	inspectEvent
 	routeEvent
 	reserveEvent
+	peersEvent
+	gatherEvent
+	restEvent
 )
 
 // event is what the router's duty is told.
@@ -45,6 +50,9 @@
 	divisor   int // that connections must come down to, for lowerEvent
 	inspect   func(r *grrouter.Router)
 	reserve   float64 // extra sub-requests to a service that can be saved up
+	members   []grcontrol.Member
+	gathered  grpeer.GatherEvent
+	want      int // parts of the rest of a group
 }
 
 // ask is a query or request with the place for its result.
@@ -69,7 +77,8 @@
 	addresses map[grid.SearcherID]grid.Address
 	out       grrouter.Out
 	unsent    []unsent
-	lowering  int // divisor that the control duty waits for, or 0
+	peers     map[grid.InstanceID]grid.Address // that can be delegated to
+	lowering  int                              // divisor that the control duty waits for, or 0
 	checkAt   grclock.Millis
 	counts    counts
 }
@@ -129,6 +138,12 @@
 		l.take(e.ask, l.router.StartRequest(now, request, &l.out))
 	case routeEvent:
 		l.take(e.ask, l.router.StartRoute(now, e.ask.request.RouteAsk, &l.out))
+	case peersEvent:
+		l.setPeers(e.members)
+	case gatherEvent:
+		l.gatherDone(now, &e.gathered)
+	case restEvent:
+		l.router.AskRest(now, l.numbers[e.number], e.want, &l.out)
 	case reserveEvent:
 		l.router.SetReserve(e.reserve)
 	case cancelEvent:
@@ -210,6 +225,9 @@
 		for i := range l.out.Actions {
 			l.act(&l.out.Actions[i])
 		}
+		for i := range l.out.Delegations {
+			l.delegate(now, &l.out.Delegations[i])
+		}
 		for i := range l.out.Results {
 			l.deliver(&l.out.Results[i])
 		}
@@ -244,7 +262,7 @@
 	ask := l.asks[a.Key.Query]
 	if ask.request != nil {
 		l.node.pool.Send(place, grupstream.Sending{
-			Attempt: a.Attempt, Searcher: a.ID, Remaining: a.Timeout, Exchange: ask.request.Exchange(),
+			Attempt: a.Attempt, Searcher: a.ID, Remaining: a.Timeout, Exchange: l.node.Adapter.Exchange(ask.request),
 		})
 		return
 	}
@@ -269,11 +287,15 @@
 }
 
 func (l *loop) deliver(result *grrouter.Result) {
-	if ask, ok := l.asks[result.ID]; ok {
+	ask, ok := l.asks[result.ID]
+	if !ok {
+		return
+	}
+	if !result.More {
 		delete(l.asks, result.ID)
 		delete(l.numbers, ask.number)
-		ask.result <- *result
 	}
+	ask.result <- *result
 }
 
 // counts publishes the counters of the router.
@@ -307,6 +329,8 @@
 		"queries_rerun":         r.Counters.Reruns,
 		"queries_cancelled":     r.Counters.Cancelled,
 		"answers_malformed":     r.Counters.Malformed,
+		"groups_delegated":      r.Counters.Delegated,
+		"groups_taken_back":     r.Counters.Undelegated,
 		"subrequests_first":     sum.First,
 		"subrequests_hedged":    sum.Hedges,
 		"subrequests_retried":   sum.Retries,
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
@@ -47,16 +48,20 @@
 	pool     *grupstream.Pool
 	events   *grring.Ring[event]
 	links    *grpeer.Links
+	gathers  *grpeer.Gathers
 	loop     loop
 	control  control
 	claims   claims
 	run      grid.Incarnation
 
-	inFlight   atomic.Int64 // queries and requests being answered
-	tokens     atomic.Uint64
-	tookMS     atomic.Int64 // from the acceptance of the preset until in force here
-	table      atomic.Pointer[grtable.Table]
-	ready      atomic.Bool // with an Adapter: there is a table and a searcher
+	inFlight atomic.Int64 // queries and requests being answered
+	tokens   atomic.Uint64
+	tookMS   atomic.Int64 // from the acceptance of the preset until in force here
+	table    atomic.Pointer[grtable.Table]
+	ready    atomic.Bool // with an Adapter: there is a table and a searcher
+
+	gatherMu   sync.Mutex
+	gathering  map[gatherKey]*gathered // groups of other instances whose rest may be asked for
 	platformUp atomic.Bool
 }
 
@@ -78,7 +83,7 @@
 	if secure.peers != nil {
 		listener = tls.NewListener(listener, secure.peers)
 	}
-	peers := &grpeer.Service{OnMessage: n.onMessage, OnStatus: n.ownStatus}
+	peers := &grpeer.Service{OnMessage: n.onMessage, OnStatus: n.ownStatus, OnGather: n.onGather}
 	n.group.Start(func(ctx context.Context) error { return peers.Serve(ctx, listener) })
 	n.group.Start(n.loop.run)
 	n.group.Start(n.control.run)
@@ -135,6 +140,10 @@
 		Clock:  n.Clock,
 		Report: func(e grpeer.Event) { n.control.post(controlEvent{link: &e}) },
 	}
+	n.gathers = &grpeer.Gathers{
+		Group:  n.group,
+		Report: func(e grpeer.GatherEvent) { n.post(event{kind: gatherEvent, gathered: e}) },
+	}
 	n.claims.node = n
 	n.claims.init()
 	n.loop = loop{node: n, router: router}
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -20,6 +21,10 @@
 type Adapter interface {
 	// Duties returns the duties that serve callers and follow the platform.
 	Duties(n *Node) []func(ctx context.Context) error
+	// Exchange returns the wire form of an attempt at a caller's request.
+	Exchange(request *RouteRequest) grupstream.Exchange
+	// Merge returns the greatest records of the answers of shards.
+	Merge(bodies [][]byte, top int) []byte
 }
 
 // RouteTerms holds the terms of an instance that answers requests on routes.
@@ -32,8 +37,8 @@
 // RouteRequest is one request of a caller on a route.
 type RouteRequest struct {
 	grrouter.RouteAsk
-	ID       grid.RequestID
-	Exchange func() grupstream.Exchange // makes the wire form of an attempt
+	Asked *http.Request // its body is not read
+	Body  []byte
 }
 
 // Parts of the budget for extra work that an instance uses. The rest covers
@@ -107,6 +112,7 @@
 		c.state.Open(now, c.node.Settings.Callers, &c.out)
 		c.node.Log.Info("ready")
 	}
+	c.node.post(event{kind: peersEvent, members: c.state.Entries(c.node.Settings.FailureDomain, 0)})
 	members := len(c.state.Members())
 	if members != c.members {
 		c.members = members
--- a/transport/grpeer/peer.go
+++ b/transport/grpeer/peer.go
@@ -19,6 +19,7 @@
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
+	"geraniumrouter/transport/grdial"
 	"geraniumrouter/transport/grgroup"
 	"geraniumrouter/transport/grtrace"
 )
@@ -60,6 +61,7 @@
 type Service struct {
 	OnMessage func(got grwire.PeerMessage) grwire.PeerMessage
 	OnStatus  func() grwire.InstanceStatus
+	OnGather  func(ask grwire.GatherAsk) grwire.GatherAnswer
 }
 
 // Deliver takes a message.
@@ -188,9 +190,9 @@
 }
 
 func (l *Links) dial(ctx context.Context, address grid.Address) (*rpc.Client, error) {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
+	dialer := grdial.New(dialTimeout)
 	if l.TLS != nil {
-		secure := tls.Dialer{NetDialer: &dialer, Config: l.TLS}
+		secure := tls.Dialer{NetDialer: dialer, Config: l.TLS}
 		conn, err := secure.DialContext(ctx, "tcp", string(address))
 		if err != nil {
 			return nil, err
--- a/transport/grupstream/link.go
+++ b/transport/grupstream/link.go
@@ -7,13 +7,11 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
+	"geraniumrouter/transport/grdial"
 )
 
 // received is an answer as it was read. clean tells that nothing stands behind
@@ -37,18 +35,9 @@
 	ended   chan struct{}                // closed by the reader when the connection ends
 }
 
-// Spans after which the kernel gives up a connection whose other end is silent.
-const (
-	silentAfter   = 2 * grclock.Second // sent bytes that are not acknowledged
-	probeInterval = grclock.Second     // between two probes of an idle connection
-	probes        = 2                  // without an answer
-)
-
 // connect opens a connection and starts to read it. take gets each answer.
 func (p *Pool) connect(ctx context.Context, address grid.Address, take func(received)) (*link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout.Duration()}
-	EndSilent(&dialer)
-	c, err := dialer.DialContext(ctx, "tcp", string(address))
+	c, err := grdial.New(dialTimeout).DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
@@ -60,26 +49,6 @@
 	return l, nil
 }
 
-// EndSilent makes the kernel end connections of the dialer whose other end is
-// silent, within about three seconds.
-func EndSilent(dialer *net.Dialer) {
-	dialer.Control = setUserTimeout
-	dialer.KeepAliveConfig = net.KeepAliveConfig{
-		Enable: true, Idle: probeInterval.Duration(), Interval: probeInterval.Duration(), Count: probes,
-	}
-}
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter))
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // Write counts the bytes that were handed to the network.
 func (l *link) Write(data []byte) (int, error) {
 	n, err := l.Conn.Write(data)
