Hold half of each connection limit back; far searchers cost a fixed wait

Ruled out: too short a time-out of ours (the resets are the searchers'), the store (reached at 34.6 s). Change: an instance uses half of its part of a limit; the wait at a searcher of another domain counts so many typical answers more, in place of a factor, which under load sent work far away.

--- a/coordination/grleaf/policy.go
+++ b/coordination/grleaf/policy.go
@@ -24,7 +24,7 @@
 	ReopenInterval grclock.Millis // pause after a connection could not be opened
 	DropAfter      grclock.Millis // after this long the connection of an attempt that nobody waits for is closed; 0 never
 	PayResends     bool           // the budget pays for copies in place of those that searchers turned away
-	FarFactor      float64        // expected wait in other failure domains counts so many times; 0 stands for 1
+	FarCost        float64        // added to the expected wait in other failure domains, in typical answer times
 }
 
 // Choice selects the rule by which a searcher is chosen.
@@ -47,7 +47,7 @@
 	p.SilentLimit = grclock.Minute
 	p.DropAfter = 400 * grclock.Millisecond
 	p.PayResends = true
-	p.FarFactor = 1.5
+	p.FarCost = 8
 	p.WindowPerSlot = 2
 	p.EjectAfter = 4
 	p.EjectFor = 500 * grclock.Millisecond
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -205,8 +205,8 @@
 	slots := float64(max(r.Slots, 1))
 	ahead := float64(r.busy) + l.othersLoad(now, r)
 	wait := l.expectedLatency(now, r) * (1 + ahead/slots) * (1 + faultyPenalty*r.faulty.Value(0))
-	if l.Policy.FarFactor > 0 && r.Domain != l.Domain {
-		wait *= l.Policy.FarFactor
+	if r.Domain != l.Domain {
+		wait += l.Policy.FarCost * l.typical.Value(1)
 	}
 	jitter := 1 + 0.05*l.Random.Float()
 	return wait * jitter / l.warmth(now, r)
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -327,11 +327,16 @@
 	}
 	share := leastShare
 	if t := c.state.Table(); t != nil {
-		share = max(share, c.shareOf(t.ConnLimit(s.Service)))
+		share = max(share, c.shareOf(t.ConnLimit(s.Service))/lingering)
 	}
 	return share
 }
 
+// lingering divides the part of each connection limit that is used: a searcher
+// keeps the connections of instances that lost power until it notices, and those
+// that start in their place must find room beside them.
+const lingering = 2
+
 // leastShare is the connections to a searcher of a service that the table does
 // not name yet, so that they are there when it does.
 const leastShare = 1
