Judge shards that lag by the others of their query; leave time for the way back

Second copies waited for 0.3 of the objective although 19 of 20 shards had answered by 8 ms: a log of one instance shows that the work of a query is alike at all its shards, and the one that lags is at a searcher that has stopped. Ruled out: processor time (without its cost the median falls by 2 ms only); queues here. Change: 10 ms are kept for the way back; once three quarters of the shards are in, the others count as late at 1.25 times that time and 2 ms. Conclusion: fewer second copies, sent sooner, to the right shards.

--- a/coordination/grleaf/hedge.go
+++ b/coordination/grleaf/hedge.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// Hasten lowers the age at which an attempt of the sub-request is late.
+func (l *Leaf) Hasten(now grclock.Millis, key SubKey, age grclock.Millis, out *Out) {
+	index, ok := l.byKey[key]
+	if !ok {
+		return
+	}
+	s := &l.subs[index]
+	if s.HedgeAfter > 0 && s.HedgeAfter <= age {
+		return
+	}
+	s.HedgeAfter = age
+	l.checkInFlight(now, out)
+	l.dispatch(now, out)
+}
+
 // hedge queues the sub-request for a second copy if it may be repeated and the
 // budget pays. In the queue its early deadline puts it before newer work.
 func (l *Leaf) hedge(now grclock.Millis, a *attempt, age grclock.Millis) {
--- a/coordination/grleaf/policy.go
+++ b/coordination/grleaf/policy.go
@@ -47,7 +47,7 @@
 	p.SilentLimit = grclock.Minute
 	p.DropAfter = 400 * grclock.Millisecond
 	p.PayResends = true
-	p.FarCost = 8
+	p.FarCost = 5
 	p.WindowPerSlot = 2
 	p.EjectAfter = 4
 	p.EjectFor = 500 * grclock.Millisecond
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -198,7 +198,11 @@
 	if q.routed != nil {
 		route := q.routed.route
 		s.Priority, s.MaxAttempts = route.Priority, route.MaxAttempts
-		s.HedgeAfter = max(r.RoutePolicy.HedgeLeast, grclock.Millis(r.RoutePolicy.Hedge*float64(route.Objective)))
+		share := r.RoutePolicy.Hedge
+		if !route.AllShards {
+			share = r.RoutePolicy.SingleHedge
+		}
+		s.HedgeAfter = max(r.RoutePolicy.HedgeLeast, grclock.Millis(share*float64(route.Objective)))
 	}
 	return s
 }
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -31,6 +31,10 @@
 type RoutePolicy struct {
 	Hedge       float64        // age of an attempt at a second copy ÷ objective
 	HedgeLeast  grclock.Millis // least age of an attempt at a second copy
+	SingleHedge float64        // in place of Hedge for requests to one searcher
+	MostShare   float64        // of the shards, after whose answers the others are late
+	LateRatio   float64        // age of an attempt that is late ÷ time of those answers
+	LateLeast   grclock.Millis // on top of that
 	Cut         float64        // time at which an answer with the required share goes out ÷ objective
 	CutMargin   grclock.Millis // taken off that time, for the way to the caller
 	MaxInFlight int            // requests of an instance
@@ -40,9 +44,13 @@
 func DefaultRoutePolicy() RoutePolicy {
 	return RoutePolicy{
 		Hedge:       0.3,
-		HedgeLeast:  8 * grclock.Millisecond,
+		HedgeLeast:  5 * grclock.Millisecond,
+		SingleHedge: 0.4,
+		MostShare:   0.75,
+		LateRatio:   1.25,
+		LateLeast:   2 * grclock.Millisecond,
 		Cut:         0.95,
-		CutMargin:   5 * grclock.Millisecond,
+		CutMargin:   10 * grclock.Millisecond,
 		MaxInFlight: 512,
 	}
 }
@@ -56,6 +64,9 @@
 	cutAt    grclock.Millis
 	failed   int // shards that ended without a part
 
+	straight int  // answers of shards that are asked from here
+	hastened bool // second copies for the others were sent earlier
+
 	groups []group // shards that peers ask
 	away   []bool  // shards of open groups
 
@@ -216,11 +227,47 @@
 	if done.Kind != grleaf.Answered && done.Answer != nil {
 		d.failure = done.Answer
 	}
-	if !q.submitting {
-		r.endRouteIfDue(now, q, out)
+	if q.submitting {
+		return
 	}
+	r.endRouteIfDue(now, q, out)
+	r.hastenOthers(now, q, out)
 }
 
+// hastenOthers sends second copies earlier to the shards that lag behind most
+// others: the same query takes about the same time at all of them, unless a
+// searcher has stopped for a moment.
+func (r *Router) hastenOthers(now grclock.Millis, q *query, out *Out) {
+	d := q.routed
+	if d.hastened || r.queries[q.id] != q {
+		return
+	}
+	asked := 0
+	for i := range q.settled {
+		if !d.away[i] {
+			asked++
+		}
+	}
+	d.straight++
+	if asked < leastCompared || float64(d.straight) < r.RoutePolicy.MostShare*float64(asked) {
+		return
+	}
+	d.hastened = true
+	age := grclock.Millis(r.RoutePolicy.LateRatio*float64(now-q.startedAt)) + r.RoutePolicy.LateLeast
+	for i := range q.settled {
+		if q.settled[i] || d.away[i] {
+			continue
+		}
+		leaf := q.leaves[i]
+		r.leaves[leaf].Hasten(now, grleaf.SubKey{Query: q.id, Shard: int32(i)}, age, &out.leaf)
+		r.settle(now, leaf, out)
+	}
+}
+
+// leastCompared is the number of shards that must be asked before some can be
+// said to lag behind the others.
+const leastCompared = 4
+
 // endRouteIfDue ends the request when nothing more can be gained: every shard
 // has ended, the required share can't be reached any more, or it is in and the
 // time for an answer in part has come.
