Owners of shards: few instances in each failure domain ask them for everybody

Ruled out: longer idle times (the searchers close), a leaf drawn at random (the same cold connections). Change: shards are cut into blocks by hash; two owners a domain and block by rendezvous hashing; owners open connections ahead, others when a sub-request waits; an idle connection that a searcher closes is not opened again until it is needed.

--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -1,12 +1,18 @@
 package grleaf
 
-import "geraniumrouter/state/grclock"
+import (
+	"math"
+
+	"geraniumrouter/state/grclock"
+)
 
 // pool holds the connections to one searcher.
 type pool struct {
 	idle    []ConnID // the most recently used last
 	total   int      // opening, idle and busy
 	opening int
+	want    int            // connections that are opened without being needed at once
+	opened  grclock.Millis // the last opening
 	retryAt grclock.Millis // no opening before this time
 	refused int            // openings that failed and connections that broke since the last answer
 }
@@ -23,6 +29,7 @@
 func (l *Leaf) ConnOpened(now grclock.Millis, searcher int32, conn ConnID, out *Out) {
 	r := &l.replicas[searcher]
 	r.conns.opening--
+	r.conns.opened = now
 	r.conns.idle = append(r.conns.idle, conn)
 	l.maintainConns(now, out)
 	l.dispatch(now, out)
@@ -46,7 +53,7 @@
 	for i, c := range r.conns.idle {
 		if c == conn {
 			r.conns.idle = append(r.conns.idle[:i], r.conns.idle[i+1:]...)
-			l.noteBroken(now, r)
+			l.noteIdleEnd(now, r)
 			l.closeConn(searcher, conn, out)
 			break
 		}
@@ -86,16 +93,22 @@
 
 // unreachable reports whether no searcher is left to wait for: none may get
 // work, or none has a connection and all are out of reach.
-func (l *Leaf) unreachable() bool {
+func (l *Leaf) unreachable(now grclock.Millis) bool {
 	for i := range l.replicas {
 		r := &l.replicas[i]
-		if r.usable() && (r.conns.total > r.conns.opening || r.conns.refused < refusals) {
+		if r.usable() && (r.conns.total > r.conns.opening || r.conns.refused < refusals || l.mayTry(now, r)) {
 			return false
 		}
 	}
 	return l.listed
 }
 
+// mayTry reports whether a connection to a searcher that refused some is opened
+// again only for a sub-request that waits.
+func (l *Leaf) mayTry(now grclock.Millis, r *replica) bool {
+	return l.Keep != nil && r.conns.retryAt <= now
+}
+
 // Draw takes the idle connection that was unused for longest, for a check by
 // the daemon; ReturnConn gives it back. ok is false when none is idle.
 func (l *Leaf) Draw(searcher int32) (conn ConnID, ok bool) {
@@ -117,6 +130,20 @@
 	l.dispatch(now, out)
 }
 
+// stableAfter is how long after the last opening the end of an idle connection
+// is taken as the searcher's time-out for idle connections.
+const stableAfter = grclock.Second
+
+// noteIdleEnd notes that the searcher closed an idle connection. One that was
+// idle for too long was not needed; it is not opened again until it is.
+func (l *Leaf) noteIdleEnd(now grclock.Millis, r *replica) {
+	if l.Keep == nil || now-r.conns.opened < stableAfter {
+		l.noteBroken(now, r)
+		return
+	}
+	r.conns.want = min(r.conns.want, max(r.conns.total-1, 1))
+}
+
 // noteBroken pauses the opening of connections to a searcher that broke one or
 // let none be opened; it may take connections and drop them at once.
 func (l *Leaf) noteBroken(now grclock.Millis, r *replica) {
@@ -167,15 +194,71 @@
 		return
 	}
 	want := min(r.Share, int(l.maxWindow(r))+l.Policy.SpareConns)
+	if l.Keep != nil {
+		want = min(r.Share, r.conns.want)
+	}
 	if r.conns.total < want && r.conns.retryAt > now {
 		l.wakeAt(r.conns.retryAt)
 		return
 	}
 	for r.conns.total < want {
-		l.nextConn++
-		r.conns.total++
-		r.conns.opening++
-		l.Counters.ConnsOpened++
-		l.act(out, OpenConn, i, l.nextConn, 0, SubKey{}, 0)
+		l.openConn(i, out)
+	}
+}
+
+func (l *Leaf) openConn(i int32, out *Out) {
+	r := &l.replicas[i]
+	l.nextConn++
+	r.conns.total++
+	r.conns.opening++
+	l.Counters.ConnsOpened++
+	l.act(out, OpenConn, i, l.nextConn, 0, SubKey{}, 0)
+}
+
+// Kept says how many connections are opened ahead of need to each searcher of
+// the own failure domain, and to each elsewhere.
+type Kept struct{ Near, Far int }
+
+// SetKeep changes the connections that are opened ahead of need.
+func (l *Leaf) SetKeep(now grclock.Millis, keep Kept, out *Out) {
+	if l.Keep != nil && *l.Keep == keep {
+		return
+	}
+	l.Keep = &keep
+	for i := range l.replicas {
+		l.replicas[i].conns.want = l.kept(&l.replicas[i])
+	}
+	l.maintainConns(now, out)
+}
+
+// kept returns the connections that are opened ahead of need to a searcher.
+func (l *Leaf) kept(r *replica) int {
+	switch {
+	case l.Keep == nil:
+		return 0
+	case r.Domain == l.Domain:
+		return l.Keep.Near
+	}
+	return l.Keep.Far
+}
+
+// openForWaiting opens a connection to the best searcher that could take a
+// waiting sub-request if one stood.
+func (l *Leaf) openForWaiting(now grclock.Millis, s *sub, out *Out) {
+	best, bestScore := int32(-1), math.Inf(1)
+	for i := range l.replicas {
+		r := &l.replicas[i]
+		if !r.usable() || r.conns.opening > 0 || r.conns.total >= r.Share || r.conns.retryAt > now || r.busy >= int(r.window) {
+			continue
+		}
+		if l.hasCopy(s, int32(i)) {
+			continue
+		}
+		if score := l.score(now, r, i); score < bestScore {
+			best, bestScore = int32(i), score
+		}
+	}
+	if best >= 0 {
+		l.openConn(best, out)
 	}
 }
--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -31,10 +31,13 @@
 			continue
 		}
 		r := l.choose(now, s)
-		if r < 0 && s.active == 0 && l.unreachable() {
+		if r < 0 && s.active == 0 && l.unreachable(now) {
 			l.finish(index, l.endOf(s, NotStarted), out)
 			continue
 		}
+		if r < 0 && l.Keep != nil {
+			l.openForWaiting(now, s, out)
+		}
 		if r < 0 && s.active > 0 {
 			l.aside = append(l.aside, l.queue.Pop())
 			continue
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -150,6 +150,7 @@
 	Hedges   *grstat.Budget     // pays for second copies; shared by the leaves of an instance
 	Retries  *grstat.Budget     // pays for repeated sub-requests; shared too
 	Domain   grid.FailureDomain // of the instance; preferred where Policy says so
+	Keep     *Kept              // nil: as many connections as the policy may need are opened ahead
 	Counters Counters
 
 	replicas []replica
--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -83,6 +83,7 @@
 	}
 	first := len(l.replicas) == 0 || l.latency.Count() == 0
 	r := replica{Searcher: s, window: float64(max(s.Slots, 1))}
+	r.conns.want = l.kept(&r)
 	r.knownAt = now
 	if first {
 		r.knownAt = now - l.Policy.SlowStart
--- a/coordination/grrouter/delegate.go
+++ b/coordination/grrouter/delegate.go
@@ -1,6 +1,9 @@
 package grrouter
 
 import (
+	"math"
+	"slices"
+
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
@@ -62,7 +65,7 @@
 }
 
 // SetPeers replaces the peers that can be delegated to.
-func (r *Router) SetPeers(list []Peer) {
+func (r *Router) SetPeers(now grclock.Millis, list []Peer, out *Out) {
 	old := r.peers
 	r.peers = make([]peerState, len(list))
 	for i, p := range list {
@@ -74,90 +77,133 @@
 			}
 		}
 	}
+	r.setKeeps(now, out)
 }
 
-// delegate deals the shards without a searcher in the own failure domain to
-// peers, one in each of as few domains as hold them.
+// delegate deals the shards that this instance does not own to peers that do:
+// those of the own failure domain first, then those of as few others as hold
+// the rest. What nobody can be asked for stays here.
 func (r *Router) delegate(now grclock.Millis, q *query) {
 	d := q.routed
 	d.away = resized(d.away, len(q.leaves))
 	if len(r.peers) == 0 || len(q.leaves) < leastGroup {
 		return
 	}
-	reach := r.reachable(now)
-	far := r.farShards(q)
-	for len(far) >= leastGroup && len(reach) > 0 {
-		best := r.bestDomain(q, far, reach)
-		peer, known := reach[best]
-		if !known {
-			return
+	r.shunLate(now)
+	blocks := blocksOf(len(q.leaves))
+	for block := range blocks {
+		far := r.notOwned(q, block, blocks)
+		domains := r.domains()
+		for len(far) >= leastGroup && len(domains) > 0 {
+			var domain grid.FailureDomain
+			domain, domains = r.nextDomain(q, far, domains)
+			far = r.group(now, q, far, domain, block)
 		}
-		delete(reach, best)
-		g := group{peer: peer, open: true}
-		far, g.shards = r.partShards(q, far, best)
-		if len(g.shards) < leastGroup {
+	}
+}
+
+// group gives the shards that a domain holds to one of their owners there, and
+// returns the others.
+func (r *Router) group(now grclock.Millis, q *query, far []int32, domain grid.FailureDomain, block int) []int32 {
+	peer, known := r.pickOwner(now, domain, block)
+	if !known {
+		return far
+	}
+	others, held := r.partShards(q, far, domain)
+	if len(held) < leastGroup {
+		return far
+	}
+	for _, shard := range held {
+		q.routed.away[shard] = true
+	}
+	q.routed.groups = append(q.routed.groups, group{peer: peer, shards: held, open: true})
+	return others
+}
+
+// notOwned returns the shards of a block that this instance does not own.
+func (r *Router) notOwned(q *query, block, blocks int) []int32 {
+	owned := r.owns(block)
+	var far []int32
+	for i, leaf := range q.leaves {
+		if blockOf(q.routed.services[i], blocks) != block {
 			continue
 		}
-		for _, i := range g.shards {
-			d.away[i] = true
+		if !owned || !r.leaves[leaf].ServedIn(r.Domain) {
+			far = append(far, int32(i))
 		}
-		d.groups = append(d.groups, g)
 	}
+	return far
 }
 
-// reachable returns a peer for each other failure domain, drawn from those that
-// answer.
-func (r *Router) reachable(now grclock.Millis) map[grid.FailureDomain]grid.InstanceID {
-	reach := make(map[grid.FailureDomain]grid.InstanceID)
-	count := make(map[grid.FailureDomain]int)
+// domains returns the failure domains of the peers.
+func (r *Router) domains() []grid.FailureDomain {
+	var list []grid.FailureDomain
 	for i := range r.peers {
-		p := &r.peers[i]
-		if p.dueAt > 0 && now > p.dueAt {
-			r.notePeer(now, p.ID, false)
+		if !slices.Contains(list, r.peers[i].Domain) {
+			list = append(list, r.peers[i].Domain)
 		}
-		if p.shunUntil > now || p.Domain == r.Domain {
-			continue
+	}
+	return list
+}
+
+// nextDomain takes the domain out of the list that holds the most of the shards,
+// with some chance for the others, so that the work spreads. The own domain
+// goes first.
+func (r *Router) nextDomain(q *query, far []int32, list []grid.FailureDomain) (grid.FailureDomain, []grid.FailureDomain) {
+	best, bestScore := 0, -1.0
+	for i, domain := range list {
+		score := float64(r.held(q, far, domain)) * (1 + r.random.Float())
+		if domain == r.Domain {
+			score = math.Inf(1)
 		}
-		count[p.Domain]++
-		if r.random.Below(count[p.Domain]) == 0 {
-			reach[p.Domain] = p.ID
+		if score > bestScore {
+			best, bestScore = i, score
 		}
 	}
-	return reach
+	domain := list[best]
+	return domain, slices.Delete(list, best, best+1)
 }
 
-// farShards returns the shards without a searcher in the own failure domain.
-func (r *Router) farShards(q *query) []int32 {
-	var far []int32
-	for i, leaf := range q.leaves {
-		if !r.leaves[leaf].ServedIn(r.Domain) {
-			far = append(far, int32(i))
+// held counts the shards that a domain holds.
+func (r *Router) held(q *query, shards []int32, domain grid.FailureDomain) int {
+	n := 0
+	for _, shard := range shards {
+		if r.leaves[q.leaves[shard]].ServedIn(domain) {
+			n++
 		}
 	}
-	return far
+	return n
 }
 
-// bestDomain returns the domain that holds the most of the shards, with some
-// chance for the others, so that the work spreads.
-func (r *Router) bestDomain(q *query, far []int32, reach map[grid.FailureDomain]grid.InstanceID) grid.FailureDomain {
-	var best grid.FailureDomain
-	bestScore := 0.0
-	for i := range r.peers {
-		domain := r.peers[i].Domain
-		if _, known := reach[domain]; !known {
-			continue
+// pickOwner draws one of the owners of a block in a domain that answer.
+func (r *Router) pickOwner(now grclock.Millis, domain grid.FailureDomain, block int) (grid.InstanceID, bool) {
+	owners := r.owners(domain, block)
+	first := r.random.Below(max(len(owners), 1))
+	for k := range owners {
+		id := owners[(first+k)%len(owners)]
+		if p := r.peer(id); p != nil && p.shunUntil <= now {
+			return id, true
 		}
-		held := 0
-		for _, shard := range far {
-			if r.leaves[q.leaves[shard]].ServedIn(domain) {
-				held++
-			}
+	}
+	return "", false
+}
+
+// shunLate passes by peers that owe an answer.
+func (r *Router) shunLate(now grclock.Millis) {
+	for i := range r.peers {
+		if p := &r.peers[i]; p.dueAt > 0 && now > p.dueAt {
+			r.notePeer(now, p.ID, false)
 		}
-		if score := float64(held) * (1 + r.random.Float()); score > bestScore {
-			best, bestScore = domain, score
+	}
+}
+
+func (r *Router) peer(id grid.InstanceID) *peerState {
+	for i := range r.peers {
+		if r.peers[i].ID == id {
+			return &r.peers[i]
 		}
 	}
-	return best
+	return nil
 }
 
 // partShards divides the shards into those that a domain does not hold, and
@@ -303,29 +349,25 @@
 
 // expect notes by when a peer must say something.
 func (r *Router) expect(id grid.InstanceID, dueAt grclock.Millis) {
-	for i := range r.peers {
-		if p := &r.peers[i]; p.ID == id && p.dueAt == 0 {
-			p.dueAt = dueAt
-		}
+	if p := r.peer(id); p != nil && p.dueAt == 0 {
+		p.dueAt = dueAt
 	}
 }
 
 // notePeer keeps whether a peer answers. One that does not is passed by for a
 // while.
 func (r *Router) notePeer(now grclock.Millis, id grid.InstanceID, answered bool) {
-	for i := range r.peers {
-		p := &r.peers[i]
-		if p.ID != id {
-			continue
-		}
-		p.dueAt = 0
-		if answered {
-			p.silent, p.shunUntil = 0, 0
-			return
-		}
-		if p.shunUntil <= now {
-			p.shunUntil = now + shunFirst<<min(p.silent, shunSteps)
-			p.silent++
-		}
+	p := r.peer(id)
+	if p == nil {
+		return
+	}
+	p.dueAt = 0
+	if answered {
+		p.silent, p.shunUntil = 0, 0
+		return
+	}
+	if p.shunUntil <= now {
+		p.shunUntil = now + shunFirst<<min(p.silent, shunSteps)
+		p.silent++
 	}
 }
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -122,7 +122,8 @@
 	DropBodies bool // results carry no records; for benchmarks of decisions
 	Counters   Counters
 
-	RoutePolicy RoutePolicy        // the zero value stands for DefaultRoutePolicy
+	RoutePolicy RoutePolicy // the zero value stands for DefaultRoutePolicy
+	Self        grid.InstanceID
 	Domain      grid.FailureDomain // of the instance
 	// ServiceBudget pays for the extra sub-requests of each service apart, in
 	// place of the budgets of the whole instance. The zero value turns it off.
@@ -147,6 +148,8 @@
 	splitVersion grtable.Version
 	budgets      []*grstat.Budget // of the services, where each has its own
 	peers        []peerState
+	indexes      map[grid.Service]int  // block of each shard of the newest table
+	singles      map[grid.Service]bool // services of the newest table that are no shards
 	random       grid.Random
 }
 
@@ -259,6 +262,9 @@
 // SetService replaces the searchers of a service.
 func (r *Router) SetService(now grclock.Millis, name grid.Service, list []grleaf.Searcher, out *Out) {
 	leaf := r.leafFor(name)
+	if r.indexes != nil {
+		r.leaves[leaf].SetKeep(now, r.keepOf(name), &out.leaf)
+	}
 	r.leaves[leaf].SetSearchers(now, list, &out.leaf)
 	r.settle(now, leaf, out)
 }
--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -186,7 +186,7 @@
 }
 
 // setPeers tells the router which instances it can delegate to.
-func (l *loop) setPeers(members []grcontrol.Member) {
+func (l *loop) setPeers(now grclock.Millis, members []grcontrol.Member) {
 	l.peers = make(map[grid.InstanceID]grid.Address, len(members))
 	peers := make([]grrouter.Peer, 0, len(members))
 	for _, m := range members {
@@ -195,5 +195,5 @@
 			peers = append(peers, grrouter.Peer{ID: m.ID, Domain: m.Domain})
 		}
 	}
-	l.router.SetPeers(peers)
+	l.router.SetPeers(now, peers, &l.out)
 }
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -13,6 +13,7 @@
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grsnapshot"
+	"geraniumrouter/state/grtable"
 	"geraniumrouter/transport/grpeer"
 	"geraniumrouter/transport/grupstream"
 )
@@ -32,6 +33,7 @@
 	routeEvent
 	reserveEvent
 	peersEvent
+	tableEvent
 	gatherEvent
 	restEvent
 )
@@ -51,6 +53,7 @@
 	inspect   func(r *grrouter.Router)
 	reserve   float64 // extra sub-requests to a service that can be saved up
 	members   []grcontrol.Member
+	table     *grtable.Table
 	gathered  grpeer.GatherEvent
 	want      int // parts of the rest of a group
 }
@@ -139,7 +142,9 @@
 	case routeEvent:
 		l.take(e.ask, l.router.StartRoute(now, e.ask.request.RouteAsk, &l.out))
 	case peersEvent:
-		l.setPeers(e.members)
+		l.setPeers(now, e.members)
+	case tableEvent:
+		l.router.SetTable(now, e.table, &l.out)
 	case gatherEvent:
 		l.gatherDone(now, &e.gathered)
 	case restEvent:
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -153,7 +153,7 @@
 }
 
 func (n *Node) newRouter() *grrouter.Router {
-	router := &grrouter.Router{Seed: grid.Hash(n.Settings.Instance) ^ uint64(n.run), Domain: n.Settings.FailureDomain}
+	router := &grrouter.Router{Seed: grid.Hash(n.Settings.Instance) ^ uint64(n.run), Self: n.Settings.Instance, Domain: n.Settings.FailureDomain}
 	if n.Adapter != nil {
 		router.Policy = grleaf.RoutePolicy()
 		router.ServiceBudget = grstat.Budget{Share: extraShareUsed * n.Terms.ExtraShare}
