Offer routing tables by version instead of pushing them

Ruled out: heartbeats and keep-alive probes (four times fewer, or none: no change). Change: grspread offers large items by key and version; each is asked for from one instance at a time.

--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -114,6 +114,7 @@
 	c.missed = make(map[grid.InstanceID]missing)
 	c.items.Rounds, c.shares.Rounds = pushRounds, pushRounds
 	c.items.Changed = c.changed
+	c.items.Large = func(item Item) bool { return item.Value.Kind == TableKind }
 	c.shares.Changed = func(grclock.Millis, Item, Item) { c.unreviewed = true }
 	c.stale = true
 	c.with(out, func() {
--- a/coordination/grspread/spread.go
+++ b/coordination/grspread/spread.go
@@ -49,6 +49,7 @@
 	Parts   []uint8   // parts that Listed is about
 	Listed  []Listed  // all keys of those parts
 	Want    []Key     // items that the sender asks for
+	Offers  []Listed  // changes that are sent when they are asked for
 	Items   []Item[V] // changes
 }
 
@@ -56,6 +57,9 @@
 type Map[V any] struct {
 	Rounds  int                                         // pushes of a change with later messages
 	Changed func(now grclock.Millis, old, item Item[V]) // called for each change; may be nil
+	// Large tells which items are offered by key and version and sent only where
+	// they are asked for, since each reaches an instance on several ways; nil: none.
+	Large func(item Item[V]) bool
 
 	items   map[Key]Item[V]
 	digests [buckets]Digest
@@ -65,8 +69,18 @@
 	repairedAt grclock.Millis // last comparison of parts
 	hot        map[Key]int    // pushes left
 	fresh      []Key          // changes since the last call of Fresh
+	asked      map[Key]asking // offers that were asked for and have not come
 }
 
+type asking struct {
+	version Version
+	at      grclock.Millis
+}
+
+// askAgain is how long an offer that was asked for is waited for, before it is
+// asked for from another instance.
+const askAgain = 300 * grclock.Millisecond
+
 // maxItems bounds the items of one message; the rest follows later.
 const maxItems = 512
 
@@ -103,11 +117,20 @@
 	}
 	message.Digest = m.whole
 	for _, key := range fresh {
-		message.Items = append(message.Items, m.items[key])
+		m.push(&message, m.items[key])
 	}
 	return message, true
 }
 
+// push adds an item to a message, or the offer of a large one.
+func (m *Map[V]) push(message *Message[V], item Item[V]) {
+	if m.Large != nil && m.Large(item) {
+		message.Offers = append(message.Offers, Listed{item.Key, item.Version})
+		return
+	}
+	message.Items = append(message.Items, item)
+}
+
 // Put takes an item if its version is higher than the one held, and reports
 // whether it did. The change is then pushed with the next messages.
 func (m *Map[V]) Put(now grclock.Millis, item Item[V]) bool {
@@ -145,7 +168,7 @@
 		if len(message.Items) >= maxItems {
 			break
 		}
-		message.Items = append(message.Items, m.items[key])
+		m.push(&message, m.items[key])
 	}
 	return message
 }
@@ -169,6 +192,7 @@
 	}
 	answer.Digest = m.whole
 	m.supply(got.Want, &answer)
+	m.ask(now, got.Offers, &answer)
 	switch {
 	case len(got.Parts) > 0:
 		m.compareListed(&got, &answer)
@@ -181,6 +205,24 @@
 	return answer, len(answer.Items)+len(answer.Buckets)+len(answer.Parts)+len(answer.Want) > 0
 }
 
+// ask asks for the offers that are newer than what is held, each from one
+// instance at a time.
+func (m *Map[V]) ask(now grclock.Millis, offers []Listed, answer *Message[V]) {
+	for _, o := range offers {
+		if own, held := m.items[o.Key]; held && own.Version >= o.Version {
+			continue
+		}
+		if a, waiting := m.asked[o.Key]; waiting && a.version >= o.Version && now-a.at < askAgain {
+			continue
+		}
+		if m.asked == nil {
+			m.asked = make(map[Key]asking)
+		}
+		m.asked[o.Key] = asking{o.Version, now}
+		answer.Want = append(answer.Want, o.Key)
+	}
+}
+
 // Pauses before maps that differ are compared part by part.
 const (
 	quietFor    = grclock.Second     // after a change: it may still be on its way
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -24,6 +24,7 @@
 	Parts   []uint8
 	Listed  []ListedWire
 	Want    []string
+	Offers  []ListedWire
 	Items   []ItemWire
 }
 
@@ -113,6 +114,9 @@
 	for _, k := range m.Want {
 		w.Want = append(w.Want, string(k))
 	}
+	for _, l := range m.Offers {
+		w.Offers = append(w.Offers, ListedWire{string(l.Key), uint64(l.Version)})
+	}
 	for i := range m.Items {
 		w.Items = append(w.Items, itemTo(&m.Items[i]))
 	}
@@ -130,6 +134,9 @@
 	for _, k := range w.Want {
 		m.Want = append(m.Want, grspread.Key(k))
 	}
+	for _, l := range w.Offers {
+		m.Offers = append(m.Offers, grspread.Listed{Key: grspread.Key(l.Key), Version: grspread.Version(l.Version)})
+	}
 	for i := range w.Items {
 		if item, ok := itemFrom(&w.Items[i]); ok {
 			m.Items = append(m.Items, item)
