Owners hold more of a connection limit than the others

Ruled out: more watching of load (the load is known; a connection was missing). Change: owners of a shard share half of what is used of a limit, the others the rest.

--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -69,7 +69,7 @@
 // share.
 func (l *Leaf) WithinShares() bool {
 	for i := range l.replicas {
-		if r := &l.replicas[i]; r.present && r.conns.total > r.Share {
+		if r := &l.replicas[i]; r.present && r.conns.total > l.share(r) {
 			return false
 		}
 	}
@@ -154,7 +154,7 @@
 // giveBack returns a busy connection to the pool or closes it.
 func (l *Leaf) giveBack(searcher int32, conn ConnID, healthy bool, out *Out) {
 	r := &l.replicas[searcher]
-	if healthy && r.usable() && r.conns.total <= r.Share {
+	if healthy && r.usable() && r.conns.total <= l.share(r) {
 		r.conns.idle = append(r.conns.idle, conn)
 		return
 	}
@@ -179,7 +179,7 @@
 
 func (l *Leaf) closeSurplus(i int32, out *Out) {
 	r := &l.replicas[i]
-	allowed := r.Share
+	allowed := l.share(r)
 	if !r.usable() {
 		allowed = 0
 	}
@@ -193,9 +193,9 @@
 	if !r.usable() {
 		return
 	}
-	want := min(r.Share, int(l.maxWindow(r))+l.Policy.SpareConns)
+	want := min(l.share(r), int(l.maxWindow(r))+l.Policy.SpareConns)
 	if l.Keep != nil {
-		want = min(r.Share, r.conns.want)
+		want = min(l.share(r), r.conns.want)
 	}
 	if r.conns.total < want && r.conns.retryAt > now {
 		l.wakeAt(r.conns.retryAt)
@@ -216,8 +216,20 @@
 }
 
 // Kept says how many connections are opened ahead of need to each searcher of
-// the own failure domain, and to each elsewhere.
-type Kept struct{ Near, Far int }
+// the own failure domain, and to each elsewhere, and whether this instance is
+// one of the few that ask the searchers of its domain for all.
+type Kept struct {
+	Near, Far int
+	Owner     bool
+}
+
+// share returns the connections that may be held to a searcher.
+func (l *Leaf) share(r *replica) int {
+	if l.Keep != nil && l.Keep.Owner && r.Domain == l.Domain {
+		return max(r.Share, r.OwnerShare)
+	}
+	return r.Share
+}
 
 // SetKeep changes the connections that are opened ahead of need.
 func (l *Leaf) SetKeep(now grclock.Millis, keep Kept, out *Out) {
@@ -248,7 +260,7 @@
 	best, bestScore := int32(-1), math.Inf(1)
 	for i := range l.replicas {
 		r := &l.replicas[i]
-		if !r.usable() || r.conns.opening > 0 || r.conns.total >= r.Share || r.conns.retryAt > now || r.busy >= int(r.window) {
+		if !r.usable() || r.conns.opening > 0 || r.conns.total >= l.share(r) || r.conns.retryAt > now || r.busy >= int(r.window) {
 			continue
 		}
 		if l.hasCopy(s, int32(i)) {
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -42,12 +42,13 @@
 
 // Searcher describes one searcher of the service.
 type Searcher struct {
-	ID      grid.SearcherID
-	Domain  grid.FailureDomain
-	Slots   int
-	Share   int              // connections that this instance may hold
-	Leaving bool             // gets no new work
-	Run     grid.Incarnation // a later run of the same id starts afresh
+	ID         grid.SearcherID
+	Domain     grid.FailureDomain
+	Slots      int
+	Share      int              // connections that this instance may hold
+	OwnerShare int              // the same for one of the few that ask it for all; 0: as Share
+	Leaving    bool             // gets no new work
+	Run        grid.Incarnation // a later run of the same id starts afresh
 }
 
 // ConnID names a connection of one searcher. Ids are not reused.
--- a/coordination/grrouter/owner.go
+++ b/coordination/grrouter/owner.go
@@ -14,7 +14,7 @@
 // its blocks only.
 const (
 	blockShards = 128 // shards that one message to an owner names at most
-	ownersEach  = 2   // of a block in a failure domain
+	OwnersEach  = 2   // of a block in a failure domain
 )
 
 // Connections that are opened ahead of need.
@@ -34,8 +34,8 @@
 
 // owners returns the instances of a domain that own a block, this one included.
 func (r *Router) owners(domain grid.FailureDomain, block int) []grid.InstanceID {
-	var best [ownersEach]grid.InstanceID
-	var rank [ownersEach]uint64
+	var best [OwnersEach]grid.InstanceID
+	var rank [OwnersEach]uint64
 	consider := func(id grid.InstanceID) {
 		own := grid.Mix(grid.Hash(id)^uint64(block)) | 1
 		for i := range best {
@@ -54,7 +54,7 @@
 		}
 	}
 	n := 0
-	for n < ownersEach && rank[n] > 0 {
+	for n < OwnersEach && rank[n] > 0 {
 		n++
 	}
 	return best[:n:n]
@@ -109,7 +109,7 @@
 		return grleaf.Kept{Near: singleKeep, Far: singleKeep}
 	}
 	if r.owns(r.indexes[name]) {
-		return grleaf.Kept{Near: ownerNear, Far: ownerFar}
+		return grleaf.Kept{Near: ownerNear, Far: ownerFar, Owner: true}
 	}
 	return grleaf.Kept{}
 }
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -12,6 +12,7 @@
 	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grdrain"
 	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/coordination/grshare"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
@@ -300,7 +301,8 @@
 	for _, s := range c.state.Searchers() {
 		leaving := s.State != grcontrol.Live || resting["service "+string(s.Service)] || resting["searcher "+string(s.ID)]
 		services[s.Service] = append(services[s.Service], grleaf.Searcher{
-			ID: s.ID, Domain: s.Domain, Slots: s.Slots, Share: c.searchShare(&s), Leaving: leaving, Run: s.Run,
+			ID: s.ID, Domain: s.Domain, Slots: s.Slots, Leaving: leaving, Run: s.Run,
+			Share: c.searchShare(&s), OwnerShare: c.ownerShare(&s),
 		})
 		addresses[s.ID] = s.Address
 	}
@@ -332,6 +334,16 @@
 	return share
 }
 
+// ownerShare returns the connections to a searcher that one of the owners of its
+// shard may use: they have half of what is used, the others the rest.
+func (c *control) ownerShare(s *grcontrol.ListedSearcher) int {
+	t := c.state.Table()
+	if t == nil || c.released {
+		return 0
+	}
+	return t.ConnLimit(s.Service) / (lingering * 2 * grrouter.OwnersEach)
+}
+
 // lingering divides the part of each connection limit that is used: a searcher
 // keeps the connections of instances that lost power until it notices, and those
 // that start in their place must find room beside them.
