Spread searchers by offers, only where something changed that is used

Change: an entry that changed in nothing we use is not spread; searchers are offered by version; one round of repeats where digests repair; the router is told with the next tick of 100 ms.

--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -114,7 +114,12 @@
 	c.missed = make(map[grid.InstanceID]missing)
 	c.items.Rounds, c.shares.Rounds = pushRounds, pushRounds
 	c.items.Changed = c.changed
-	c.items.Large = func(item Item) bool { return item.Value.Kind == TableKind }
+	if c.Unproven {
+		// Each instance hears of a change from several others, and digests find
+		// what got lost.
+		c.items.Rounds = 1
+		c.items.Large = func(item Item) bool { return item.Value.Kind == TableKind || item.Value.Kind == SearcherKind }
+	}
 	c.shares.Changed = func(grclock.Millis, Item, Item) { c.unreviewed = true }
 	c.stale = true
 	c.with(out, func() {
--- a/coordination/grcontrol/searcher.go
+++ b/coordination/grcontrol/searcher.go
@@ -65,12 +65,22 @@
 func (c *Control) TakeRevision(now grclock.Millis, list []ListedSearcher, at []grid.Revision, out *Out) {
 	c.with(out, func() {
 		for i := range list {
+			if c.holds(&list[i]) {
+				continue
+			}
 			version := grspread.Version(at[i])<<stateBits | grspread.Version(list[i].State)
 			c.put(now, searcherKey(list[i].ID), version, Value{Kind: SearcherKind, Searcher: list[i].Searcher})
 		}
 	})
 }
 
+// holds reports whether a searcher is known just like this. Entries also change
+// in what nobody here uses.
+func (c *Control) holds(s *ListedSearcher) bool {
+	held, ok := c.items.Get(searcherKey(s.ID))
+	return ok && held.Value.Searcher == s.Searcher && StateOf(held.Version) == s.State
+}
+
 // MarkLeaving notes that a searcher said of itself that it is leaving.
 func (c *Control) MarkLeaving(now grclock.Millis, id grid.SearcherID, run grid.Incarnation, out *Out) {
 	c.with(out, func() {
--- a/coordination/grrouter/delegate.go
+++ b/coordination/grrouter/delegate.go
@@ -253,14 +253,14 @@
 		r.endRouteIfDue(now, q, out)
 		return
 	}
-	r.takeGroup(q, g, answer)
+	r.takeGroup(now, q, g, answer, out)
 	r.askRest(now, q, out)
 	r.endRouteIfDue(now, q, out)
 }
 
 // takeGroup merges the parts of a group. Those that are missing for good count
 // as failed.
-func (r *Router) takeGroup(q *query, g *group, answer *GroupAnswer) {
+func (r *Router) takeGroup(now grclock.Millis, q *query, g *group, answer *GroupAnswer, out *Out) {
 	d := q.routed
 	if d.overlaps(g) {
 		return
@@ -268,9 +268,7 @@
 	for _, p := range answer.Parts {
 		for _, shard := range g.shards {
 			if d.services[shard] == p.Service && !q.settled[shard] {
-				q.settled[shard] = true
-				q.open--
-				q.started = true
+				r.settleShard(now, q, shard, out)
 				d.parts = append(d.parts, p)
 			}
 		}
@@ -282,14 +280,25 @@
 	g.open = false
 	for _, shard := range g.shards {
 		if !q.settled[shard] {
-			q.settled[shard] = true
-			q.open--
-			q.started = true
+			r.settleShard(now, q, shard, out)
 			d.failed++
 		}
 	}
 }
 
+// settleShard ends a shard by what a peer said of it. A sub-request that was
+// sent from here as well is not needed any more.
+func (r *Router) settleShard(now grclock.Millis, q *query, shard int32, out *Out) {
+	q.settled[shard] = true
+	q.open--
+	q.started = true
+	if !q.routed.away[shard] {
+		leaf := q.leaves[shard]
+		r.leaves[leaf].Abandon(now, grleaf.SubKey{Query: q.id, Shard: shard}, &out.leaf)
+		r.settle(now, leaf, out)
+	}
+}
+
 // askStraight sends the sub-requests of a group that a peer did not answer. If
 // the peer may have sent them, each is one more arrival at its service, and one
 // attempt is used up; what the budget does not allow counts as failed.
--- a/coordination/grspread/spread.go
+++ b/coordination/grspread/spread.go
@@ -112,11 +112,11 @@
 func (m *Map[V]) Fresh() (message Message[V], ok bool) {
 	fresh := m.fresh
 	m.fresh = m.fresh[:0]
-	if len(fresh) == 0 || len(fresh) > maxFresh {
+	if len(fresh) == 0 || len(fresh) > maxFresh && m.Large == nil {
 		return message, false
 	}
 	message.Digest = m.whole
-	for _, key := range fresh {
+	for _, key := range fresh[:min(len(fresh), maxItems)] {
 		m.push(&message, m.items[key])
 	}
 	return message, true
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -160,6 +160,10 @@
 		}
 	case grleaf.Send:
 		j := &job{in: in, leaf: a.Service, attempt: a.Attempt, request: in.requestOf(a.Key.Query), conn: in.conns[key]}
+		if j.request == nil {
+			w.violate("a part of a request that has ended is sent")
+			return
+		}
 		s := w.searcher(a.ID)
 		w.after(oneWay, func() { s.take(j) })
 	}
--- a/standin/grstandroute/request.go
+++ b/standin/grstandroute/request.go
@@ -1,6 +1,7 @@
 package grstandroute
 
 import (
+	"slices"
 	"strconv"
 
 	"geraniumrouter/coordination/grrouter"
@@ -125,7 +126,8 @@
 	}
 }
 
-// checkBudget checks the extra arrivals at each service in every window.
+// checkBudget checks the extra arrivals at each service in every window against
+// the requests for it, whether they arrived or not.
 func (w *world) checkBudget() {
 	for i := range w.config.Shards {
 		var extra, all []grclock.Millis
@@ -136,11 +138,14 @@
 			for _, a := range s.arrived {
 				if a.extra {
 					extra = append(extra, a.at)
-				} else {
-					all = append(all, a.at)
 				}
 			}
 		}
+		for _, r := range w.requests {
+			if r.asked && slices.Contains(r.route.Targets[0].Services, serviceName(i)) {
+				all = append(all, r.at)
+			}
+		}
 		w.report.Extra += len(extra)
 		for _, start := range extra {
 			n, of := within(extra, start, window), within(all, start-window/2, window*3/2)
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -40,6 +40,7 @@
 	states   map[grid.InstanceID]grcontrol.State
 	lowering int // divisor that the router was asked to come down to
 	released bool
+	stale    bool // the searchers changed since the router was told; it is told with the next tick
 }
 
 // controlEvent is what the control duty is told; one field is set.
@@ -153,6 +154,11 @@
 	c.stepDrain(now, inFlight)
 	c.watching.Store(c.state.Watches())
 	c.carryOut()
+	if c.stale {
+		c.stale = false
+		c.refreshServices()
+		c.reviewRoutes(now)
+	}
 }
 
 func (c *control) handle(now grclock.Millis, e *controlEvent) {
@@ -255,13 +261,16 @@
 	refresh := c.out.Searchers || c.out.Active != nil || c.out.Table != nil
 	changed := c.out.Members
 	c.out.Reset()
-	if refresh {
+	switch {
+	case refresh && c.node.Adapter != nil:
+		c.stale = true
+	case refresh:
 		c.refreshServices()
 	}
 	if changed {
 		c.logStates()
 	}
-	if refresh || changed {
+	if changed {
 		c.reviewRoutes(c.node.Clock.Now())
 	}
 }
