--- a/cmd/geraniumrouter/daemon.go
+++ b/cmd/geraniumrouter/daemon.go
@@ -14,6 +14,8 @@
 	gradapter "geraniumrouter/platform"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grsettings"
+	"geraniumrouter/transport/grgroup"
+	"geraniumrouter/transport/grlog"
 	"geraniumrouter/transport/grnode"
 	"geraniumrouter/transport/grtrace"
 )
@@ -74,11 +76,13 @@
 }
 
 func runPlatform() int {
-	log, err := newLog("info")
+	sink := &grlog.Sink{Out: os.Stdout, Clock: grclock.System()}
+	writing := grgroup.New(context.Background())
+	writing.Start(sink.Run)
+	err := gradapter.Run(context.Background(), sink.Logger(zapcore.InfoLevel))
+	writing.Stop()
+	_ = writing.Wait() // A sink returns no error.
 	if err != nil {
-		return misused(err)
-	}
-	if err := gradapter.Run(context.Background(), log); err != nil {
 		return failed(err)
 	}
 	return exitDone
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -297,6 +297,7 @@
 	r.abandonOpen(now, q, out)
 	result := Result{ID: q.id, Generation: q.generation}
 	if q.routed != nil {
+		result.Took = now - q.startedAt
 		r.judgeRoute(q, &result)
 	} else {
 		result.Coverage, result.Snapshot = q.cover.Fraction(), q.pinned.Snapshot
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -1,6 +1,8 @@
 package grrouter
 
 import (
+	"slices"
+
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/state/granswer"
 	"geraniumrouter/state/grclock"
@@ -316,6 +318,21 @@
 	}
 }
 
+// maxAbsent bounds the shards that a result names as missing.
+const maxAbsent = 8
+
+// absent names some of the shards without a part.
+func (q *query) absent() []grid.Service {
+	var list []grid.Service
+	for i, name := range q.routed.services {
+		answered := slices.ContainsFunc(q.routed.parts, func(p Part) bool { return p.Service == name })
+		if !answered && (i < len(q.settled)) && len(list) < maxAbsent {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 // judgeRoute decides on the outcome of a request on a route.
 func (r *Router) judgeRoute(q *query, result *Result) {
 	d := q.routed
@@ -327,7 +344,9 @@
 		result.Outcome = Complete
 	case len(d.parts) >= d.needed():
 		result.Outcome = Partial
+		result.Absent = q.absent()
 	case q.started:
+		result.Absent = q.absent()
 		result.Outcome, result.Code = Unknown, grfault.CoverageTooLow
 		if !d.route.AllShards {
 			result.Code = grfault.Lost
--- a/protocol/grwire/gather.go
+++ b/protocol/grwire/gather.go
@@ -7,6 +7,8 @@
 	Query uint64
 	Group int32
 
+	ID string // of the caller's request, for logs
+
 	Rest bool // the parts that were missing from the first answer
 	Want int  // of them are needed
 
--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -76,6 +76,7 @@
 			Table: &grtable.Table{}, Route: &route, Group: true,
 			CutAt: now + grclock.Millis(asked.CutMS), Deadline: now + grclock.Millis(asked.RemainingMS),
 		},
+		ID:    grid.RequestID(asked.ID),
 		Asked: &http.Request{Method: asked.Method, URL: target, Host: asked.Host, Header: header},
 		Body:  asked.Body,
 	}
@@ -155,6 +156,7 @@
 	if !d.Rest {
 		request := a.request
 		asked.Route = grwire.RouteTerms(request.Route)
+		asked.ID = string(request.ID)
 		asked.Method, asked.Host, asked.Body = request.Asked.Method, request.Asked.Host, request.Body
 		asked.Target = request.Asked.URL.RequestURI()
 		for name, values := range request.Asked.Header {
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -300,6 +300,9 @@
 		delete(l.asks, result.ID)
 		delete(l.numbers, ask.number)
 	}
+	if ask.request != nil {
+		l.logEnd(ask.request, result)
+	}
 	ask.result <- *result
 }
 
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -37,7 +37,8 @@
 // RouteRequest is one request of a caller on a route.
 type RouteRequest struct {
 	grrouter.RouteAsk
-	Asked *http.Request // its body is not read
+	ID    grid.RequestID // of the caller, for logs
+	Asked *http.Request  // its body is not read
 	Body  []byte
 }
 
