Take the merged records of a group whole or not; refuse only what no leaf may have run

Ruled out: a reused list of results (copied), answers of another query (signatures are right). Change: the parts of a group are taken all or none, also in place of straight ones that failed; a request with an open group is not 'not run'. Conclusion: the check that the records are those of the parts stays.

--- a/coordination/grrouter/delegate.go
+++ b/coordination/grrouter/delegate.go
@@ -259,19 +259,21 @@
 }
 
 // takeGroup merges the parts of a group. Those that are missing for good count
-// as failed.
+// as failed. The records of the parts can't be told apart, so that all are taken
+// or none.
 func (r *Router) takeGroup(now grclock.Millis, q *query, g *group, answer *GroupAnswer, out *Out) {
 	d := q.routed
-	if d.overlaps(g) {
+	if !d.fits(g, answer.Parts) {
 		return
 	}
 	for _, p := range answer.Parts {
-		for _, shard := range g.shards {
-			if d.services[shard] == p.Service && !q.settled[shard] {
-				r.settleShard(now, q, shard, out)
-				d.parts = append(d.parts, p)
-			}
+		shard := d.shardOf(g, p.Service)
+		if q.settled[shard] {
+			d.failed-- // It had failed straight.
+		} else {
+			r.settleShard(now, q, shard, out)
 		}
+		d.parts = append(d.parts, p)
 	}
 	g.more = answer.More
 	if answer.More {
@@ -286,6 +288,31 @@
 	}
 }
 
+// fits reports whether the parts are of the group, and none of their shards is
+// answered yet.
+func (d *routed) fits(g *group, parts []Part) bool {
+	for i, p := range parts {
+		if d.shardOf(g, p.Service) < 0 {
+			return false
+		}
+		same := func(other Part) bool { return other.Service == p.Service }
+		if slices.ContainsFunc(d.parts, same) || slices.ContainsFunc(parts[:i], same) {
+			return false
+		}
+	}
+	return true
+}
+
+// shardOf returns the shard of a group that a service holds, or -1.
+func (d *routed) shardOf(g *group, name grid.Service) int32 {
+	for _, shard := range g.shards {
+		if d.services[shard] == name {
+			return shard
+		}
+	}
+	return -1
+}
+
 // settleShard ends a shard by what a peer said of it. A sub-request that was
 // sent from here as well is not needed any more.
 func (r *Router) settleShard(now grclock.Millis, q *query, shard int32, out *Out) {
@@ -335,19 +362,6 @@
 	r.settle(now, leaf, out)
 }
 
-// overlaps reports whether a shard of the group was answered straight. The
-// merged records of the group can't be told apart then.
-func (d *routed) overlaps(g *group) bool {
-	for _, shard := range g.shards {
-		for _, p := range d.parts {
-			if !d.away[shard] && p.Service == d.services[shard] {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // askRest asks peers for the rest of their groups when an answer in part is due
 // and the required share is not in.
 func (r *Router) askRest(now grclock.Millis, q *query, out *Out) {
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -336,6 +336,7 @@
 // judgeRoute decides on the outcome of a request on a route.
 func (r *Router) judgeRoute(q *query, result *Result) {
 	d := q.routed
+	started := q.started || slices.ContainsFunc(d.groups, func(g group) bool { return g.open })
 	result.Parts, result.Failure, result.Asked = d.parts, d.failure, len(d.services)
 	switch {
 	case d.partial:
@@ -345,7 +346,7 @@
 	case len(d.parts) >= d.needed():
 		result.Outcome = Partial
 		result.Absent = q.absent()
-	case q.started:
+	case started:
 		result.Absent = q.absent()
 		result.Outcome, result.Code = Unknown, grfault.CoverageTooLow
 		if !d.route.AllShards {
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -6,6 +6,7 @@
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/coordination/grstat"
+	"geraniumrouter/state/granswer"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 )
@@ -226,7 +227,7 @@
 			g.answer(grrouter.GroupAnswer{Failed: true})
 			return
 		}
-		g.answer(grrouter.GroupAnswer{Parts: result.Parts, More: result.More})
+		g.answer(grrouter.GroupAnswer{Parts: merged(result.Parts), More: result.More})
 		return
 	}
 	r := in.asked[result.ID]
@@ -235,6 +236,20 @@
 	in.world.after(callerWay, func() { in.world.receive(r, copied) })
 }
 
+// merged moves the records of all parts to the first, as on the wire.
+func merged(parts []grrouter.Part) []grrouter.Part {
+	list := make([]grrouter.Part, len(parts))
+	var body []byte
+	for i, p := range parts {
+		list[i] = grrouter.Part{Service: p.Service, Answer: &granswer.Answer{Status: 200, Signature: p.Answer.Signature}}
+		body = append(body, p.Answer.Body...)
+	}
+	if len(list) > 0 {
+		list[0].Answer.Body = body
+	}
+	return list
+}
+
 func (w *world) searcher(id grid.SearcherID) *searcher {
 	for _, s := range w.searchers {
 		if s.id == id {
--- a/standin/grstandroute/request.go
+++ b/standin/grstandroute/request.go
@@ -101,11 +101,31 @@
 			w.violate("request %d: part %s of another request or shard", r.number, signature)
 		}
 	}
+	w.checkRecords(r, result)
 	if float64(len(result.Parts)) < r.route.MinShare*float64(result.Asked) {
 		w.violate("request %d: %d of %d parts", r.number, len(result.Parts), result.Asked)
 	}
 }
 
+// checkRecords checks that the records are those of the parts, each once.
+func (w *world) checkRecords(r *request, result *grrouter.Result) {
+	if !r.route.AllShards {
+		return
+	}
+	count := make(map[string]int)
+	for _, p := range result.Parts {
+		count[string(p.Service)]++
+		for body := p.Answer.Body; len(body) >= len(serviceName(0)); body = body[len(serviceName(0)):] {
+			count[string(body[:len(serviceName(0))])]--
+		}
+	}
+	for name, n := range count {
+		if n != 0 {
+			w.violate("request %d: records of %s are in %d times", r.number, name, 1-n)
+		}
+	}
+}
+
 // checkEnd checks a request at the end of the run.
 func (w *world) checkEnd(r *request) {
 	w.report.Asked++
--- a/standin/grstandroute/searcher.go
+++ b/standin/grstandroute/searcher.go
@@ -87,7 +87,7 @@
 	w := s.world
 	s.running--
 	reply := grleaf.Reply{Kind: grleaf.OK, KeepConn: true, Answer: &granswer.Answer{
-		Status: 200, Signature: string(s.service) + "#" + j.request.key(),
+		Status: 200, Signature: string(s.service) + "#" + j.request.key(), Body: []byte(s.service),
 	}}
 	switch chance := w.random.Float(); {
 	case chance < w.config.Lost:
