Release groups that nobody waits for

Cause: a leaf kept asking for a group up to its deadline after the root had answered or its caller had left; searchers must not work on half a second later. Ruled out: shorter holds at the leaf (the rest is asked for within 150 ms, a call back is exact). Change: a query that ends tells the peers of its open groups; the leaf cancels them.

--- a/coordination/grrouter/delegate.go
+++ b/coordination/grrouter/delegate.go
@@ -17,7 +17,8 @@
 }
 
 // Delegation asks a peer for the parts of a group of shards, or, with Rest, for
-// those that were missing from its first answer.
+// those that were missing from its first answer. With Release nobody waits for
+// the group any more.
 type Delegation struct {
 	To       grid.InstanceID
 	Query    grid.QueryID
@@ -27,6 +28,7 @@
 	Deadline grclock.Millis
 	Rest     bool
 	Want     int // parts that are needed of the rest
+	Release  bool
 }
 
 // GroupAnswer is what a peer says of a group.
@@ -418,6 +420,19 @@
 	}
 }
 
+// releaseGroups tells peers that nobody waits for their groups any more, so that
+// they free the searchers.
+func (r *Router) releaseGroups(q *query, out *Out) {
+	for i := range q.routed.groups {
+		g := &q.routed.groups[i]
+		if !g.open {
+			continue
+		}
+		g.open = false
+		out.Delegations = append(out.Delegations, Delegation{To: g.peer, Query: q.id, Group: int32(i), Release: true})
+	}
+}
+
 // notePeer keeps whether a peer answers. One that does not is passed by for a
 // while.
 func (r *Router) notePeer(now grclock.Millis, id grid.InstanceID, answered bool) {
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -299,6 +299,7 @@
 	if q.routed != nil {
 		result.Took = now - q.startedAt
 		r.judgeRoute(q, &result)
+		r.releaseGroups(q, out)
 	} else {
 		result.Coverage, result.Snapshot = q.cover.Fraction(), q.pinned.Snapshot
 		r.judge(q, &result)
--- a/protocol/grwire/gather.go
+++ b/protocol/grwire/gather.go
@@ -12,6 +12,8 @@
 	Rest bool // the parts that were missing from the first answer
 	Want int  // of them are needed
 
+	Release bool // nobody waits for the group any more
+
 	Route       RouteWire // with the terms only
 	Services    []string
 	CutMS       int64 // until the instance must say what it has
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -35,9 +35,10 @@
 
 // group is a delegation at the instance that was asked.
 type group struct {
-	from    *instance
-	request *request
-	d       grrouter.Delegation
+	from     *instance
+	request  *request
+	d        grrouter.Delegation
+	released bool
 }
 
 func (w *world) newInstance(i int) *instance {
@@ -193,6 +194,10 @@
 
 func (in *instance) takeGroup(g *group) {
 	w := in.world
+	if g.d.Release {
+		in.release(g)
+		return
+	}
 	if g.d.Rest {
 		for id, other := range in.groups {
 			if other.from == g.from && other.d.Query == g.d.Query && other.d.Group == g.d.Group {
@@ -209,10 +214,24 @@
 	in.groups[in.router.StartRoute(w.now, ask, &in.out)] = g
 }
 
+// release ends a group that nobody waits for.
+func (in *instance) release(g *group) {
+	for id, other := range in.groups {
+		if other.from == g.from && other.d.Query == g.d.Query && other.d.Group == g.d.Group {
+			other.released = true
+			in.router.Cancel(in.world.now, id, &in.out)
+			return
+		}
+	}
+}
+
 func (g *group) fail() { g.answer(grrouter.GroupAnswer{Failed: true, Sent: true}) }
 
 func (g *group) answer(a grrouter.GroupAnswer) {
 	w := g.from.world
+	if g.d.Release || g.released {
+		return
+	}
 	w.after(oneWay, func() {
 		g.from.deliver(func() { g.from.router.GroupDone(w.now, g.d.To, g.d.Query, g.d.Group, &a, &g.from.out) })
 	})
--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -35,7 +35,13 @@
 // onGather answers a peer's call for the parts of a group.
 func (n *Node) onGather(asked grwire.GatherAsk) grwire.GatherAnswer {
 	key := gatherKey{asked.From, asked.Query, asked.Group}
-	if asked.Rest {
+	switch {
+	case asked.Release:
+		if g := n.dropGroup(key); g != nil {
+			n.post(event{kind: cancelEvent, number: g.number})
+		}
+		return grwire.GatherAnswer{}
+	case asked.Rest:
 		return n.gatherRest(key, asked.Want)
 	}
 	request, err := n.gatherRequest(&asked)
@@ -51,9 +57,10 @@
 	if !n.events.Offer(event{kind: routeEvent, ask: a}) {
 		return grwire.GatherAnswer{Refused: true}
 	}
+	n.keepGroup(key, g)
 	answer, more := n.awaitGroup(g)
-	if more {
-		n.keepGroup(key, g)
+	if !more {
+		n.dropGroup(key)
 	}
 	return answer
 }
@@ -112,8 +119,8 @@
 	return answer
 }
 
-// keepGroup keeps a group whose rest may be asked for, and forgets those whose
-// time is over.
+// keepGroup keeps a group that may be released or whose rest may be asked for,
+// and forgets those whose time is over.
 func (n *Node) keepGroup(key gatherKey, g *gathered) {
 	n.gatherMu.Lock()
 	defer n.gatherMu.Unlock()
@@ -129,31 +136,40 @@
 	n.gathering[key] = g
 }
 
+// dropGroup forgets a group and returns it, or nil.
+func (n *Node) dropGroup(key gatherKey) *gathered {
+	n.gatherMu.Lock()
+	defer n.gatherMu.Unlock()
+	g := n.gathering[key]
+	delete(n.gathering, key)
+	return g
+}
+
 // gatherRest answers a call for the parts that were missing before.
 func (n *Node) gatherRest(key gatherKey, want int) grwire.GatherAnswer {
 	n.gatherMu.Lock()
 	g := n.gathering[key]
-	delete(n.gathering, key)
 	n.gatherMu.Unlock()
 	if g == nil {
 		return grwire.GatherAnswer{}
 	}
 	n.post(event{kind: restEvent, number: g.number, want: want})
 	answer, _ := n.awaitGroup(g)
+	n.dropGroup(key)
 	return answer
 }
 
 // delegate sends a group of shards to a peer.
 func (l *loop) delegate(now grclock.Millis, d *grrouter.Delegation) {
 	a, ok := l.asks[d.Query]
-	if !ok || a.request == nil {
+	if !d.Release && (!ok || a.request == nil) {
 		return
 	}
 	asked := &grwire.GatherAsk{
-		From: l.node.pool.Caller, Query: uint64(d.Query), Group: d.Group, Rest: d.Rest, Want: d.Want,
+		From: l.node.pool.Caller, Query: uint64(d.Query), Group: d.Group, Rest: d.Rest, Want: d.Want, Release: d.Release,
 		CutMS: int64(d.CutAt - now), RemainingMS: int64(d.Deadline - now),
 	}
-	if !d.Rest {
+	if !d.Rest && !d.Release {
 		request := a.request
 		asked.Route = grwire.RouteTerms(request.Route)
 		asked.ID = string(request.ID)
@@ -173,6 +189,9 @@
 
 // gatherDone takes what a peer said of a group.
 func (l *loop) gatherDone(now grclock.Millis, e *grpeer.GatherEvent) {
+	if e.Ask.Release {
+		return
+	}
 	answer := grrouter.GroupAnswer{Failed: true, Sent: e.Sent}
 	if a := e.Answer; a != nil && !a.Refused && len(a.Services) == len(a.Signatures) {
 		answer = grrouter.GroupAnswer{More: a.More}
