Late sub-requests wait behind those in time

Ruled out: refusing (the searchers have room for the load without the late ones). Change: a waiting sub-request whose time for an answer in part has passed goes behind the others; test TestLateGoesLast fails without it.

--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -30,6 +30,9 @@
 			l.expire(now, index, out)
 			continue
 		}
+		if l.putBack(now, index) {
+			continue
+		}
 		r := l.choose(now, s)
 		if r < 0 && s.active == 0 && l.unreachable(now) {
 			l.finish(index, l.endOf(s, NotStarted), out)
@@ -59,6 +62,19 @@
 	l.aside = l.aside[:0]
 }
 
+// putBack moves a waiting sub-request behind those in time when its aim has
+// passed.
+func (l *Leaf) putBack(now grclock.Millis, index int32) bool {
+	s := &l.subs[index]
+	if s.late || s.Aim == 0 || now < s.Aim {
+		return false
+	}
+	l.queue.Pop()
+	s.late = true
+	l.queue.Push(index)
+	return true
+}
+
 func (l *Leaf) countSend(s *sub) {
 	switch {
 	case s.active > 0:
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -35,6 +35,7 @@
 	Once     bool // not idempotent: never sent again unless it did not start
 
 	Priority    int            // 0 goes first among those that wait
+	Aim         grclock.Millis // time aimed at; once it has passed, those in time go first; 0: none
 	HedgeAfter  grclock.Millis // age of an attempt at which a second copy is sent; 0: by the policy
 	MaxAttempts int            // copies, the first included; 0: by the policy
 	Earns       Earning        // what the budget gets for it
@@ -197,6 +198,7 @@
 	active   int8             // attempts without an answer
 	sent     int8             // attempts dispatched
 	begun    bool             // was dispatched before
+	late     bool             // its aim passed while it waited
 	tried    uint64           // searchers that had an attempt, as bits
 	gone     bool             // a searcher said that the snapshot is gone
 	started  bool             // an attempt may have run
--- a/coordination/grleaf/leaf_test.go
+++ b/coordination/grleaf/leaf_test.go
@@ -112,3 +112,23 @@
 		}
 	}
 }
+
+// TestLateGoesLast sends what can still be in time before what is late, though
+// its deadline and priority come first.
+func TestLateGoesLast(t *testing.T) {
+	var out Out
+	leaf := &Leaf{Policy: DefaultPolicy()}
+	leaf.Init()
+	leaf.SetSearchers(0, []Searcher{{ID: "a/1", Slots: 1, Share: 1}}, &out)
+	leaf.ConnOpened(0, 0, out.Actions[0].Conn, &out)
+	leaf.Submit(0, Sub{Key: SubKey{Query: 1}, Deadline: 900}, &out)
+	leaf.Submit(0, Sub{Key: SubKey{Query: 2}, Deadline: 500, Priority: 0, Aim: 50}, &out)
+	leaf.Submit(60, Sub{Key: SubKey{Query: 3}, Deadline: 900, Priority: 1, Aim: 150}, &out)
+	first := out.Actions[len(out.Actions)-1]
+	out.Reset()
+	leaf.Reply(100, Reply{Attempt: first.Attempt, Kind: OK, KeepConn: true}, &out)
+	sent := out.Actions[len(out.Actions)-1]
+	if sent.Kind != Send || sent.Key.Query != 3 {
+		t.Errorf("sent %+v, want query 3", sent)
+	}
+}
--- a/coordination/grleaf/queue.go
+++ b/coordination/grleaf/queue.go
@@ -2,10 +2,14 @@
 
 import "geraniumrouter/state/grid"
 
-// before orders waiting sub-requests by priority, then deadline. It breaks ties
+// before orders waiting sub-requests by priority, then deadline; those that are
+// late already go last, so that under overload the others are not late as well. It breaks ties
 // by query, so that queues of different services agree on which query goes
 // first.
 func before(a, b *sub) bool {
+	if a.late != b.late {
+		return b.late
+	}
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -197,7 +197,7 @@
 	s := grleaf.Sub{Key: key, Deadline: q.deadline, Once: q.once}
 	if q.routed != nil {
 		route := q.routed.route
-		s.Priority, s.MaxAttempts = route.Priority, route.MaxAttempts
+		s.Priority, s.MaxAttempts, s.Aim = route.Priority, route.MaxAttempts, q.routed.cutAt
 		share := r.RoutePolicy.Hedge
 		if !route.AllShards {
 			share = r.RoutePolicy.SingleHedge
