--- a/coordination/grcensus/census.go
+++ b/coordination/grcensus/census.go
@@ -111,7 +111,11 @@
 	if held, known := c.entries[e.ID]; known && held.Revision >= e.Revision {
 		return nil
 	}
+	same := c.entries[e.ID].ListedSearcher == e.ListedSearcher
 	c.entries[e.ID] = e
+	if same {
+		return nil // What changed in the entry is not used.
+	}
 	return []Entry{e}
 }
 
--- a/coordination/grcensus/census_test.go
+++ b/coordination/grcensus/census_test.go
@@ -64,6 +64,19 @@
 	}
 }
 
+// TestUnusedChange says nothing of an entry that changed in what is not used, and
+// orders its removal behind that change.
+func TestUnusedChange(t *testing.T) {
+	c := &Census{}
+	c.Put(0, entry("a", 8))
+	if changes := c.Put(0, entry("a", 9)); len(changes) != 0 {
+		t.Errorf("changes %+v", changes)
+	}
+	if changes := c.Remove(0, "a", 9); len(changes) != 1 || changes[0].Revision != 9 {
+		t.Errorf("removal %+v", changes)
+	}
+}
+
 // TestLateRead changes nothing that a later revision changed.
 func TestLateRead(t *testing.T) {
 	c := &Census{}
