--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -41,21 +41,6 @@
 	Earns       Earning        // what the budget gets for it
 }
 
-// Earning says what a sub-request brings into the budget for extra ones. One
-// that another instance was asked for brings a part at either.
-type Earning uint8
-
-// The earnings.
-const (
-	EarnsWhole Earning = iota
-	EarnsPart          // sent on behalf of another instance
-	EarnsNone          // another instance may have sent it already
-)
-
-// shareOfAsker is the part of the earnings that stays with the instance that
-// asked another for a sub-request, for the case that it must send it itself.
-const shareOfAsker = 0.25
-
 // Searcher describes one searcher of the service.
 type Searcher struct {
 	ID         grid.SearcherID
@@ -261,27 +246,6 @@
 	l.dispatch(now, out)
 }
 
-// Delegated notes a sub-request that another instance was asked for.
-func (l *Leaf) Delegated() { l.earn(shareOfAsker) }
-
-// SpendExtra pays for a sub-request that another instance may have sent already,
-// and reports false when the budget does not allow it.
-func (l *Leaf) SpendExtra() bool {
-	if l.Retries.Spend() {
-		return true
-	}
-	l.Counters.RetriesDenied++
-	return false
-}
-
-// earn brings a sub-request, or a part of one, into the budgets.
-func (l *Leaf) earn(part float64) {
-	l.Hedges.Earn(part)
-	if l.Retries != l.Hedges {
-		l.Retries.Earn(part)
-	}
-}
-
 // Abandon ends a sub-request that its query no longer needs, without a Done.
 // It reports whether a searcher may have started it.
 func (l *Leaf) Abandon(now grclock.Millis, key SubKey, out *Out) (started bool) {
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -93,28 +93,6 @@
 	o.Actions, o.Results, o.Delegations = o.Actions[:0], o.Results[:0], o.Delegations[:0]
 }
 
-// Counters count what the router did since it was made.
-type Counters struct {
-	Queries, Complete, Partial, NotRun, Unknown uint64
-	Reruns, Refused, Malformed, Cancelled       uint64
-	Delegated, Undelegated                      uint64 // groups of shards
-}
-
-// Add sums the counters of another router into c.
-func (c *Counters) Add(o *Counters) {
-	c.Queries += o.Queries
-	c.Complete += o.Complete
-	c.Partial += o.Partial
-	c.NotRun += o.NotRun
-	c.Unknown += o.Unknown
-	c.Reruns += o.Reruns
-	c.Refused += o.Refused
-	c.Malformed += o.Malformed
-	c.Cancelled += o.Cancelled
-	c.Delegated += o.Delegated
-	c.Undelegated += o.Undelegated
-}
-
 // Router runs the queries of one instance. Set the exported fields before
 // Init.
 type Router struct {
@@ -213,14 +191,6 @@
 	return true
 }
 
-// reserve is the number of extra sub-requests that a budget can save up.
-const reserve = 30
-
-func (r *Router) setBudgets() {
-	r.hedges.Share, r.hedges.Reserve = r.Policy.HedgeShare, reserve
-	r.retries.Share, r.retries.Reserve = r.Policy.RetryShare, reserve
-}
-
 // Preset returns the switch in force.
 func (r *Router) Preset() (*grpreset.Active, bool) { return r.register.Active() }
 
@@ -362,25 +332,6 @@
 	r.finish(now, q, out)
 }
 
-// SetReserve changes how many extra sub-requests to each service can be saved
-// up.
-func (r *Router) SetReserve(reserve float64) {
-	r.ServiceBudget.Reserve = reserve
-	for _, b := range r.budgets {
-		b.Reserve = reserve
-	}
-}
-
-// budgetsFor returns what pays for the extra sub-requests of a new leaf.
-func (r *Router) budgetsFor() (hedges, retries *grstat.Budget) {
-	if r.ServiceBudget.Share == 0 {
-		return &r.hedges, &r.retries
-	}
-	own := r.ServiceBudget
-	r.budgets = append(r.budgets, &own)
-	return &own, &own
-}
-
 // NextWake returns the time by which Tick must be called.
 func (r *Router) NextWake() grclock.Millis {
 	wake := grclock.Never
