Refuse groups that come too late; hold copies of a group once its time is over

An owner that was frozen for 3.4 s found the calls of all roots in its sockets, asked the shards and sent second copies, seconds after the roots had gone past it. Ruled out: fewer copies at the owner (two are what the second copy is for); trust in the steady clock, which leaves out the time of a suspension. Change: a call for a group carries the sender's time; what came later than its own cut is refused as not started; after the cut an owner sends no copy until the rest is asked for. Conclusion: an owner that stops with both copies on the way remains, a request or two a freeze.

--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -21,7 +21,8 @@
 }
 
 // dispatch sends waiting sub-requests in the order of the queue, as long as a
-// searcher has room. A second copy that finds none does not hold up the others.
+// searcher has room. A second copy that finds none does not hold up the others,
+// nor does one that is held.
 func (l *Leaf) dispatch(now grclock.Millis, out *Out) {
 	for l.queue.Len() > 0 {
 		index := l.queue.Top()
@@ -30,6 +31,10 @@
 			l.expire(now, index, out)
 			continue
 		}
+		if s.held(now) {
+			l.aside = append(l.aside, l.queue.Pop())
+			continue
+		}
 		if l.putBack(now, index) {
 			continue
 		}
--- a/coordination/grleaf/hedge.go
+++ b/coordination/grleaf/hedge.go
@@ -82,11 +82,29 @@
 	l.dispatch(now, out)
 }
 
+// held reports whether no copy of the sub-request may be sent for now: whoever
+// asked for it may have gone another way.
+func (s *sub) held(now grclock.Millis) bool { return s.HoldAfter > 0 && now >= s.HoldAfter }
+
+// Resume lets copies of a sub-request be sent again.
+func (l *Leaf) Resume(now grclock.Millis, key SubKey, out *Out) {
+	index, ok := l.byKey[key]
+	if !ok {
+		return
+	}
+	l.subs[index].HoldAfter = 0
+	l.checkInFlight(now, out)
+	l.dispatch(now, out)
+}
+
 // hedge queues the sub-request for a second copy if it may be repeated and the
 // budget pays. In the queue its early deadline puts it before newer work.
 func (l *Leaf) hedge(now grclock.Millis, a *attempt, age grclock.Millis) {
 	l.noteSlow(now, &l.replicas[a.replica], age)
 	s := &l.subs[a.sub]
+	if s.held(now) {
+		return
+	}
 	if s.Once || int(s.sent) >= l.maxAttempts(s) || s.queued {
 		a.hedged = true
 		return
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -39,6 +39,7 @@
 	HedgeAfter  grclock.Millis // age of an attempt at which a second copy is sent; 0: by the policy
 	MaxAttempts int            // copies, the first included; 0: by the policy
 	Earns       Earning        // what the budget gets for it
+	HoldAfter   grclock.Millis // from this time on no copy is sent until Resume; 0: none
 }
 
 // Searcher describes one searcher of the service.
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -203,7 +203,7 @@
 			share = r.RoutePolicy.SingleHedge
 		}
 		if q.routed.partial {
-			s.Earns = grleaf.EarnsPart
+			s.Earns, s.HoldAfter = grleaf.EarnsPart, q.routed.cutAt
 		}
 		s.HedgeAfter = max(r.RoutePolicy.HedgeLeast, grclock.Millis(share*float64(route.Objective)))
 	}
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -137,6 +137,10 @@
 		return false
 	}
 	q.routed.want = max(want, 1)
+	for i, leaf := range q.leaves {
+		r.leaves[leaf].Resume(now, grleaf.SubKey{Query: q.id, Shard: int32(i)}, &out.leaf)
+		r.settle(now, leaf, out)
+	}
 	r.endRouteIfDue(now, q, out)
 	return true
 }
@@ -184,6 +188,9 @@
 // many shards the slowest may be left out, so that only the number in flight
 // counts.
 func (r *Router) admitRoute(now grclock.Millis, q *query) grfault.Code {
+	if q.routed.partial && now >= q.routed.cutAt {
+		return grfault.DeadlineTooShort // The asker has gone past this instance by now.
+	}
 	wait := grclock.Millis(0)
 	if len(q.leaves) == 1 {
 		wait = r.leaves[q.leaves[0]].ExpectedWait()
--- a/protocol/grwire/gather.go
+++ b/protocol/grwire/gather.go
@@ -3,9 +3,10 @@
 // GatherAsk asks an instance for the parts of a group of shards, or for the
 // rest of such a group. It is encoded by encoding/gob.
 type GatherAsk struct {
-	From  string // the asking run
-	Query uint64
-	Group int32
+	From   string // the asking run
+	SentMS int64  // by the clock of its machine
+	Query  uint64
+	Group  int32
 
 	ID string // of the caller's request, for logs
 
--- a/standin/grstandroute/schedule_test.go
+++ b/standin/grstandroute/schedule_test.go
@@ -25,7 +25,7 @@
 func mixed(seed uint64) Config {
 	random := grid.Random{State: seed}
 	c := Config{Seed: seed, For: 6 * grclock.Second, Instances: 2 + random.Below(7), Shards: 5 + random.Below(30)}
-	c.Searchers = 2
+	c.Searchers = 2 + random.Below(2)
 	c.NoLeaves = random.Below(4) == 0
 	if random.Below(2) == 0 {
 		c.Pause = 100
--- a/standin/grstandroute/world.go
+++ b/standin/grstandroute/world.go
@@ -113,6 +113,7 @@
 	report    Report
 	latencies []grclock.Millis
 	parts     float64
+	spread    int // requests that ran on more searchers than allowed
 }
 
 // Run plays a run.
--- a/state/grclock/clock.go
+++ b/state/grclock/clock.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a point in time or a span, in milliseconds. Points count from the
@@ -51,6 +53,16 @@
 	return c.epoch + FromDuration(time.Since(c.start)) // grclock
 }
 
+// Uptime returns the time since the machine started, also that in which it was
+// suspended, which Now leaves out. 0 where the machine does not tell.
+func Uptime() Millis {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		return 0
+	}
+	return FromDuration(time.Duration(t.Nano()))
+}
+
 // Sleep waits for the span or until ctx ends, and reports whether the whole
 // span passed.
 func (c Clock) Sleep(ctx context.Context, span Millis) bool {
--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -9,6 +9,7 @@
 
 	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/granswer"
 	"geraniumrouter/state/grclock"
@@ -76,7 +77,7 @@
 	for _, f := range asked.Header {
 		header[f.Name] = append(header[f.Name], f.Value)
 	}
-	now := n.Clock.Now()
+	now := n.Clock.Now() - n.lagOf(asked)
 	route := grwire.RouteFrom(&asked.Route)
 	request := &RouteRequest{
 		RouteAsk: grrouter.RouteAsk{
@@ -93,6 +94,25 @@
 	return request, nil
 }
 
+// maxLags bounds the senders whose lag is kept.
+const maxLags = 4096
+
+// lagOf returns by how much a call came later than usual: it may have waited
+// while this instance stood still or could not be reached.
+func (n *Node) lagOf(asked *grwire.GatherAsk) grclock.Millis {
+	n.gatherMu.Lock()
+	defer n.gatherMu.Unlock()
+	if n.lags == nil || len(n.lags) > maxLags {
+		n.lags = make(map[string]*grstat.Lag)
+	}
+	lag := n.lags[asked.From]
+	if lag == nil {
+		lag = &grstat.Lag{}
+		n.lags[asked.From] = lag
+	}
+	return lag.Note(grclock.Millis(asked.SentMS), grclock.Uptime())
+}
+
 // awaitGroup waits for the next result of a group; more tells that another
 // follows if the rest is asked for.
 func (n *Node) awaitGroup(g *gathered) (answer grwire.GatherAnswer, more bool) {
@@ -166,7 +186,8 @@
 		return
 	}
 	asked := &grwire.GatherAsk{
-		From: l.node.pool.Caller, Query: uint64(d.Query), Group: d.Group, Rest: d.Rest, Want: d.Want, Release: d.Release,
+		SentMS: int64(grclock.Uptime()),
+		From:   l.node.pool.Caller, Query: uint64(d.Query), Group: d.Group, Rest: d.Rest, Want: d.Want, Release: d.Release,
 		CutMS: int64(d.CutAt - now), RemainingMS: int64(d.Deadline - now),
 	}
 	if !d.Rest && !d.Release {
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -62,6 +62,7 @@
 
 	gatherMu   sync.Mutex
 	gathering  map[gatherKey]*gathered // groups of other instances whose rest may be asked for
+	lags       map[string]*grstat.Lag  // of calls for groups, by the asking run
 	platformUp atomic.Bool
 }
 
