Order the loss of a searcher's entry behind the one that was made anew

Two instances that had watched the store before an outage gave up, after the grace, entries that had come back since; they no longer watched and did not hear of it. Change: the revision at which an entry was made is part of what is known of a searcher; a census rests while others watch; a whole list is told whole.

--- a/coordination/grcensus/census.go
+++ b/coordination/grcensus/census.go
@@ -21,7 +21,8 @@
 // Entry is what the platform holds of a searcher since a revision.
 type Entry struct {
 	grcontrol.ListedSearcher
-	Revision grid.Revision
+	Revision  grid.Revision
+	Unchanged bool // what is used of it is as this census knew it; others may know otherwise
 }
 
 // Grace is how long after an outage an entry may be missing before its searcher
@@ -45,6 +46,10 @@
 // Fail notes that the platform could not be read.
 func (c *Census) Fail() { c.outage = true }
 
+// Rest forgets what is missing: others watch the list, and this census would not
+// hear of those that come back.
+func (c *Census) Rest() { clear(c.missing) }
+
 // Put takes an entry that was added or changed.
 func (c *Census) Put(now grclock.Millis, e Entry) []Entry {
 	c.Reached(now)
@@ -57,14 +62,18 @@
 	return c.remove(now, id, at)
 }
 
-// List takes the whole list as it was at a revision.
+// List takes the whole list as it was at a revision, and returns all of it: what
+// this census knew already others may hold for gone.
 func (c *Census) List(now grclock.Millis, list []Entry, at grid.Revision) []Entry {
 	c.Reached(now)
 	var changes []Entry
 	present := make(map[grid.SearcherID]bool, len(list))
 	for _, e := range list {
 		present[e.ID] = true
-		changes = append(changes, c.put(e)...)
+		if c.put(e) == nil {
+			e.Unchanged = true
+		}
+		changes = append(changes, e)
 	}
 	for id := range c.entries {
 		if !present[id] {
@@ -111,11 +120,8 @@
 	if held, known := c.entries[e.ID]; known && held.Revision >= e.Revision {
 		return nil
 	}
-	same := c.entries[e.ID].ListedSearcher == e.ListedSearcher
+	e.Unchanged = c.entries[e.ID].ListedSearcher == e.ListedSearcher
 	c.entries[e.ID] = e
-	if same {
-		return nil // What changed in the entry is not used.
-	}
 	return []Entry{e}
 }
 
@@ -135,7 +141,7 @@
 
 func (c *Census) gone(id grid.SearcherID, at grid.Revision) Entry {
 	e := c.entries[id]
-	e.State, e.Revision = grcontrol.Gone, at
+	e.State, e.Revision, e.Unchanged = grcontrol.Gone, at, false
 	delete(c.entries, id)
 	delete(c.missing, id)
 	return e
--- a/coordination/grcensus/census_test.go
+++ b/coordination/grcensus/census_test.go
@@ -64,19 +64,42 @@
 	}
 }
 
-// TestUnusedChange says nothing of an entry that changed in what is not used, and
-// orders its removal behind that change.
+// TestUnusedChange tells an entry that changed in what is not used from others,
+// and orders its removal behind that change.
 func TestUnusedChange(t *testing.T) {
 	c := &Census{}
 	c.Put(0, entry("a", 8))
-	if changes := c.Put(0, entry("a", 9)); len(changes) != 0 {
+	if changes := c.Put(0, entry("a", 9)); len(changes) != 1 || !changes[0].Unchanged {
 		t.Errorf("changes %+v", changes)
 	}
-	if changes := c.Remove(0, "a", 9); len(changes) != 1 || changes[0].Revision != 9 {
+	if changes := c.Remove(0, "a", 9); len(changes) != 1 || changes[0].Revision != 9 || changes[0].Unchanged {
 		t.Errorf("removal %+v", changes)
 	}
 }
 
+// TestListTellsAll returns entries that were known: another instance may have
+// given them up in an outage and have ended before it read them again.
+func TestListTellsAll(t *testing.T) {
+	c := &Census{}
+	c.List(0, []Entry{entry("a", 8)}, 8)
+	c.Fail()
+	if changes := c.List(5000, []Entry{entry("a", 8)}, 20); len(changes) != 1 || changes[0].State != grcontrol.Live {
+		t.Errorf("changes %+v", changes)
+	}
+}
+
+// TestRest gives up no searcher while others watch the list.
+func TestRest(t *testing.T) {
+	c := &Census{}
+	c.List(0, []Entry{entry("a", 1)}, 1)
+	c.Fail()
+	c.List(1000, nil, 5)
+	c.Rest()
+	if changes := c.Tick(1000 + 2*Grace); len(changes) != 0 {
+		t.Errorf("changes %+v", changes)
+	}
+}
+
 // TestLateRead changes nothing that a later revision changed.
 func TestLateRead(t *testing.T) {
 	c := &Census{}
--- a/coordination/grcontrol/searcher.go
+++ b/coordination/grcontrol/searcher.go
@@ -75,7 +75,8 @@
 }
 
 // holds reports whether a searcher is known just like this. Entries also change
-// in what nobody here uses.
+// in what nobody here uses. One that was made anew is another, so that its word
+// is later than that of the loss of the one before.
 func (c *Control) holds(s *ListedSearcher) bool {
 	held, ok := c.items.Get(searcherKey(s.ID))
 	return ok && held.Value.Searcher == s.Searcher && StateOf(held.Version) == s.State
--- a/coordination/grcontrol/value.go
+++ b/coordination/grcontrol/value.go
@@ -56,6 +56,7 @@
 	Domain    grid.FailureDomain
 	Slots     int
 	ConnLimit int
+	Entered   grid.Revision // at which its entry in the platform's list was made; 0 if not told
 }
 
 // Value is one of the things that instances tell each other; Kind says which
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -73,6 +73,7 @@
 	Run                      uint64
 	Service, Address, Domain string
 	Slots, ConnLimit         int
+	Entered                  uint64
 }
 
 // HoldingWire tells how an instance divides connection limits.
@@ -163,6 +164,7 @@
 		w.Searcher = &SearcherWire{
 			ID: string(s.ID), Run: uint64(s.Run), Service: string(s.Service), Address: string(s.Address),
 			Domain: string(s.Domain), Slots: s.Slots, ConnLimit: s.ConnLimit,
+			Entered: uint64(s.Entered),
 		}
 	case grcontrol.HoldingKind:
 		w.Holding = &HoldingWire{Holder: runTo(v.Holder), Divisor: v.Holding.Divisor}
@@ -235,5 +237,6 @@
 	return grcontrol.Searcher{
 		ID: grid.SearcherID(w.ID), Run: grid.Incarnation(w.Run), Service: grid.Service(w.Service),
 		Address: grid.Address(w.Address), Domain: grid.FailureDomain(w.Domain), Slots: w.Slots, ConnLimit: w.ConnLimit,
+		Entered: grid.Revision(w.Entered),
 	}
 }
