--- a/transport/grnode/explain.go
+++ b/transport/grnode/explain.go
@@ -4,18 +4,12 @@
 	"go.uber.org/zap"
 
 	"geraniumrouter/coordination/grrouter"
-	"geraniumrouter/state/grclock"
 )
 
-// slowShare of the objective is the time after which a whole answer is worth a
-// line.
-const slowShare = 1.0
-
 // logEnd writes a line for a request that did not end whole and in time: what
 // decided, under which version, and which shards were missing.
 func (l *loop) logEnd(request *RouteRequest, result *grrouter.Result) {
-	late := result.Took > grclock.Millis(slowShare*float64(request.Route.Objective))
-	if result.Outcome == grrouter.Complete && !late {
+	if result.Outcome == grrouter.Complete && result.Took <= request.Route.Objective {
 		return
 	}
 	what := "request ended"
