Metrics served as text, the story of a request from logs, absences explained

Cause: a failed request could not be explained from outside: metrics were counted and not served on the platform, a line named missing shards without saying why, and no command gathered the lines of several instances. Ruled out: a line for each attempt (a query to 90 shards would write 90). Change: grmetric writes counters, gauges and latencies with labels; the platform's deployment serves them on a port of its own with the state of the instance. Each missing shard carries its trail: the peer asked, the searcher, its silence, the last end of an attempt.

--- a/cmd/geraniumrouter/daemon.go
+++ b/cmd/geraniumrouter/daemon.go
@@ -22,15 +22,19 @@
 
 func daemonCommands() []command {
 	var serveFile, checkFile string
+	var metricsPort int
+	var ofPlatform bool
 	serve := newSub("serve", "Run an entry instance.")
 	serve.String(&serveFile, "s", "settings", "the INI file to start from")
 	platform := newSub("platform", "Run an entry instance on the users' platform, with the settings that it gives.")
+	platform.Int(&metricsPort, "", "metrics-port", "the port of the metrics on the instance's address; 0: the first of its own ports")
 	check := newSub("check-settings", "Check a settings file and print every fault.")
-	check.AddPositionalValue(&checkFile, "FILE", 1, true, "the INI file")
+	check.AddPositionalValue(&checkFile, "FILE", 1, true, "the file")
+	check.Bool(&ofPlatform, "", "platform", "the file is one that the users' platform gives")
 	return []command{
 		{serve, func() int { return runServe(serveFile) }},
-		{platform, runPlatform},
-		{check, func() int { return runCheck(checkFile) }},
+		{platform, func() int { return runPlatform(metricsPort) }},
+		{check, func() int { return runCheck(checkFile, ofPlatform) }},
 	}
 }
 
@@ -42,8 +46,15 @@
 	return grsettings.Parse(file, data)
 }
 
-func runCheck(file string) int {
-	if _, err := readSettings(file); err != nil {
+func runCheck(file string, ofPlatform bool) int {
+	check := func(file string) error {
+		_, err := readSettings(file)
+		return err
+	}
+	if ofPlatform {
+		check = gradapter.CheckSettings
+	}
+	if err := check(file); err != nil {
 		return misused(err)
 	}
 	fmt.Println("no fault")
@@ -75,11 +86,11 @@
 	return exitDone
 }
 
-func runPlatform() int {
+func runPlatform(metricsPort int) int {
 	sink := &grlog.Sink{Out: os.Stdout, Clock: grclock.System()}
 	writing := grgroup.New(context.Background())
 	writing.Start(sink.Run)
-	err := gradapter.Run(context.Background(), sink.Logger(zapcore.InfoLevel))
+	err := gradapter.Run(context.Background(), sink.Logger(zapcore.InfoLevel), metricsPort)
 	writing.Stop()
 	_ = writing.Wait() // A sink returns no error.
 	if err != nil {
--- /dev/null
+++ b/cmd/geraniumrouter/explain.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"geraniumrouter/state/grfault"
+	"geraniumrouter/transport/grlog"
+)
+
+func explainCommands() []command {
+	var id string
+	var files []string
+	explain := newSub("explain", "Print what the logs of the instances tell about a request.")
+	explain.AddPositionalValue(&id, "ID", 1, true, "the id of the request")
+	explain.StringSlice(&files, "l", "log", "a log of one or more instances; may be repeated; none: standard input")
+	return []command{{explain, func() int { return runExplain(id, files) }}}
+}
+
+func runExplain(id string, files []string) int {
+	events, err := readLogs(files)
+	if err != nil {
+		return misused(err)
+	}
+	story := grlog.Story(events, id)
+	if len(story) == 0 {
+		return failed(grfault.New(grfault.UnknownRequest,
+			"no line names %s: it ended whole and in time, or never came to these instances", id))
+	}
+	printStory(os.Stdout, story, id)
+	return exitDone
+}
+
+// printStory marks the lines that name the request among those that tell what
+// the instances believed.
+func printStory(w io.Writer, story []grlog.Event, id string) {
+	for _, e := range story {
+		mark := " "
+		if e.Request == id {
+			mark = "*"
+		}
+		fmt.Fprintf(w, "%s %s %s: %s\n", mark, e.At.Format("15:04:05.000"), e.Instance, e.Text)
+	}
+}
+
+func readLogs(files []string) ([]grlog.Event, error) {
+	if len(files) == 0 {
+		return grlog.Read(os.Stdin)
+	}
+	var events []grlog.Event
+	for _, name := range files {
+		list, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		events = append(events, list...)
+	}
+	return events, nil
+}
+
+func readLog(name string) ([]grlog.Event, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return grlog.Read(file)
+}
--- a/cmd/geraniumrouter/main.go
+++ b/cmd/geraniumrouter/main.go
@@ -29,6 +29,7 @@
 	flaggy.SetDescription("A query tier over many shards.")
 	commands := append(daemonCommands(), callerCommands()...)
 	commands = append(commands, operatorCommands()...)
+	commands = append(commands, explainCommands()...)
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.sub, 1)
 	}
--- a/cmd/geraniumrouter/operator.go
+++ b/cmd/geraniumrouter/operator.go
@@ -61,8 +61,8 @@
 	if t.asJSON {
 		return printJSON(s)
 	}
-	fmt.Printf("%s in %s: %s, preset %s generation %d, %d queries in flight\n",
-		s.Instance, s.Domain, s.Phase, s.Preset, s.Generation, s.InFlight)
+	fmt.Printf("%s in %s: %s, ready %v, watching %v, preset %s generation %d, table %d, %d queries in flight\n",
+		s.Instance, s.Domain, s.Phase, s.Ready, s.Watching, s.Preset, s.Generation, s.TableVersion, s.InFlight)
 	for _, c := range s.Collections {
 		fmt.Printf("  collection %-16s index %d, shard map %d, %d shards\n", c.Collection, c.Index, c.Map, c.Shards)
 	}
--- a/coordination/grleaf/dispatch.go
+++ b/coordination/grleaf/dispatch.go
@@ -40,7 +40,7 @@
 		}
 		r := l.choose(now, s)
 		if r < 0 && s.active == 0 && l.unreachable(now) {
-			l.finish(index, l.endOf(s, NotStarted), out)
+			l.finish(now, index, l.endOf(s, NotStarted), out)
 			continue
 		}
 		if r < 0 && l.Keep != nil {
@@ -173,7 +173,7 @@
 
 func (l *Leaf) expire(now grclock.Millis, index int32, out *Out) {
 	l.cancelAttempts(now, index, out)
-	l.finish(index, l.endOf(&l.subs[index], Expired), out)
+	l.finish(now, index, l.endOf(&l.subs[index], Expired), out)
 }
 
 // endOf returns the honest end of a sub-request without an answer.
--- a/coordination/grleaf/leaf.go
+++ b/coordination/grleaf/leaf.go
@@ -111,6 +111,7 @@
 	Kind    DoneKind
 	Records []grsnapshot.Record
 	Answer  *granswer.Answer // of Answered, or of the searcher that failed last
+	Trail   Trail            // of what was not answered
 }
 
 // ActionKind tells what a daemon must do.
@@ -189,6 +190,9 @@
 	gone     bool             // a searcher said that the snapshot is gone
 	started  bool             // an attempt may have run
 	failure  *granswer.Answer // of the searcher that failed last
+	ended    bool             // an attempt ended without an answer
+	last     ReplyKind        // how
+	lastFrom grid.SearcherID
 	attempts [maxCopies]grid.AttemptID
 }
 
@@ -242,7 +246,7 @@
 	}
 	l.enqueue(index)
 	if l.queue.Len() > l.Policy.MaxQueue {
-		l.finish(l.latestQueued(), NotStarted, out)
+		l.finish(now, l.latestQueued(), NotStarted, out)
 	}
 	l.dispatch(now, out)
 }
@@ -328,10 +332,10 @@
 }
 
 // finish ends a sub-request without an answer.
-func (l *Leaf) finish(index int32, kind DoneKind, out *Out) {
+func (l *Leaf) finish(now grclock.Millis, index int32, kind DoneKind, out *Out) {
 	l.Counters.NotAnswered++
 	s := &l.subs[index]
-	out.Done = append(out.Done, Done{Key: s.Key, Kind: kind, Answer: s.failure})
+	out.Done = append(out.Done, Done{Key: s.Key, Kind: kind, Answer: s.failure, Trail: l.trailOf(now, s)})
 	l.release(index)
 }
 
--- a/coordination/grleaf/reply.go
+++ b/coordination/grleaf/reply.go
@@ -20,7 +20,7 @@
 	s := &l.subs[ended.sub]
 	if s.live && s.gen == ended.subGen {
 		s.active--
-		l.settleSub(now, ended.sub, ended.sentAt, reply, out)
+		l.settleSub(now, &ended, reply, out)
 	}
 	l.dispatch(now, out)
 }
@@ -69,11 +69,13 @@
 }
 
 // settleSub takes what the reply means for the sub-request.
-func (l *Leaf) settleSub(now grclock.Millis, index int32, sentAt grclock.Millis, reply Reply, out *Out) {
+func (l *Leaf) settleSub(now grclock.Millis, ended *attempt, reply Reply, out *Out) {
+	index := ended.sub
 	s := &l.subs[index]
+	s.ended, s.last, s.lastFrom = true, reply.Kind, l.replicas[ended.replica].ID
 	switch reply.Kind {
 	case OK:
-		l.noteAnswer(now, sentAt)
+		l.noteAnswer(now, ended.sentAt)
 		l.cancelAttempts(now, index, out)
 		l.answer(index, &reply, out)
 		return
@@ -92,7 +94,7 @@
 		return
 	}
 	if !l.mayRetry(s, reply.Kind) {
-		l.finish(index, l.endOf(s, NotStarted), out)
+		l.finish(now, index, l.endOf(s, NotStarted), out)
 		return
 	}
 	l.enqueue(index)
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -294,10 +294,12 @@
 // finish ends the query with what was merged.
 func (r *Router) finish(now grclock.Millis, q *query, out *Out) {
 	delete(r.queries, q.id)
-	r.abandonOpen(now, q, out)
 	result := Result{ID: q.id, Generation: q.generation}
 	if q.routed != nil {
-		result.Took = now - q.startedAt
+		result.Absent, result.Took = r.absences(now, q), now-q.startedAt
+	}
+	r.abandonOpen(now, q, out)
+	if q.routed != nil {
 		r.judgeRoute(q, &result)
 		r.releaseGroups(q, out)
 	} else {
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -64,7 +64,8 @@
 	parts    []Part
 	failure  *granswer.Answer
 	cutAt    grclock.Millis
-	failed   int // shards that ended without a part
+	failed   int       // shards that ended without a part
+	failures []failure // some of them
 
 	straight int  // answers of shards that are asked from here
 	hastened bool // second copies for the others were sent earlier
@@ -234,6 +235,9 @@
 	default:
 		d.failed++
 	}
+	if done.Kind != grleaf.Answered {
+		d.noteFailure(done)
+	}
 	if done.Kind != grleaf.Answered && done.Answer != nil {
 		d.failure = done.Answer
 	}
@@ -316,6 +320,7 @@
 		}
 	case d.holdUntil == 0 && now >= d.cutAt:
 		result := Result{ID: q.id, Outcome: Partial, Parts: d.parts, Asked: len(d.services), More: true}
+		result.Absent, result.Took = r.absences(now, q), now-q.startedAt
 		out.Results = append(out.Results, result)
 		d.told = len(d.parts)
 		d.holdUntil = now + restWait
@@ -325,21 +330,6 @@
 	}
 }
 
-// maxAbsent bounds the shards that a result names as missing.
-const maxAbsent = 8
-
-// absent names some of the shards without a part.
-func (q *query) absent() []grid.Service {
-	var list []grid.Service
-	for i, name := range q.routed.services {
-		answered := slices.ContainsFunc(q.routed.parts, func(p Part) bool { return p.Service == name })
-		if !answered && (i < len(q.settled)) && len(list) < maxAbsent {
-			list = append(list, name)
-		}
-	}
-	return list
-}
-
 // judgeRoute decides on the outcome of a request on a route.
 func (r *Router) judgeRoute(q *query, result *Result) {
 	d := q.routed
@@ -352,9 +342,7 @@
 		result.Outcome = Complete
 	case len(d.parts) >= d.needed():
 		result.Outcome = Partial
-		result.Absent = q.absent()
 	case started:
-		result.Absent = q.absent()
 		result.Outcome, result.Code = Unknown, grfault.CoverageTooLow
 		if !d.route.AllShards {
 			result.Code = grfault.Lost
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -74,7 +74,7 @@
 	Parts      []Part           // of requests on routes: what was answered
 	Failure    *granswer.Answer // of requests on routes: the failure a searcher answered with, if any
 	Asked      int              // of requests on routes: shards that make up a whole answer
-	Absent     []grid.Service   // of requests on routes: some of the shards without a part, for logs
+	Absent     []Absence        // of requests on routes: some of the shards without a part, for logs
 	Took       grclock.Millis
 	RetryAfter grclock.Millis // after NotRun: when to come back
 	More       bool           // of a group: the rest may be asked for, and another result follows
--- a/protocol/grwire/operator.go
+++ b/protocol/grwire/operator.go
@@ -86,16 +86,19 @@
 
 // StatusReply describes an instance to operators.
 type StatusReply struct {
-	Instance    string           `json:"instance"`
-	Domain      string           `json:"failure_domain"`
-	Phase       string           `json:"phase"`
-	Generation  uint64           `json:"generation"`
-	Preset      string           `json:"preset"`
-	InFlight    int              `json:"queries_in_flight"`
-	PlatformUp  bool             `json:"platform_up"`
-	Collections []CollectionWire `json:"collections"`
-	Services    []ServiceStatus  `json:"services"`
-	Peers       []InstanceStatus `json:"peers"`
+	Instance     string           `json:"instance"`
+	Domain       string           `json:"failure_domain"`
+	Phase        string           `json:"phase"`
+	Generation   uint64           `json:"generation"`
+	Preset       string           `json:"preset"`
+	InFlight     int              `json:"queries_in_flight"`
+	PlatformUp   bool             `json:"platform_up"`
+	Ready        bool             `json:"ready"`
+	Watching     bool             `json:"watching"`      // the platform, for the others as well
+	TableVersion uint64           `json:"table_version"` // 0 where no routing table is in force
+	Collections  []CollectionWire `json:"collections"`
+	Services     []ServiceStatus  `json:"services"`
+	Peers        []InstanceStatus `json:"peers"`
 }
 
 // CollectionWire is the snapshot in use of a collection.
--- a/state/grfault/fault.go
+++ b/state/grfault/fault.go
@@ -30,6 +30,7 @@
 	BadPreset         Code = "bad_preset"
 	UnknownPreset     Code = "unknown_preset"
 	OperationReused   Code = "operation_reused"
+	UnknownRequest    Code = "unknown_request"
 	Unauthorized      Code = "unauthorized"
 	Internal          Code = "internal"
 )
--- a/transport/grhttp/handlers_test.go
+++ b/transport/grhttp/handlers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -55,6 +56,8 @@
 
 func (d *desk) Status() grwire.StatusReply { return grwire.StatusReply{} }
 
+func (d *desk) WriteMetrics(io.Writer) error { return nil }
+
 func (d *desk) Drain() grwire.StatusReply {
 	d.calls++
 	return grwire.StatusReply{}
--- a/transport/grhttp/operators.go
+++ b/transport/grhttp/operators.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"io"
 	"net/http"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,8 +20,32 @@
 	PutPreset(ctx context.Context, ask grwire.PutPresetRequest) (grwire.PutPresetReply, *grfault.Fault)
 	Switch(ctx context.Context, ask grwire.SwitchRequest) (grwire.ActiveWire, *grfault.Fault)
 	PresetStatus(ctx context.Context) grwire.PresetStatus
-	Status() grwire.StatusReply
 	Drain() grwire.StatusReply
+	Monitored
+}
+
+// Monitored is what shows its state.
+type Monitored interface {
+	Status() grwire.StatusReply
+	WriteMetrics(w io.Writer) error // as text
+}
+
+// Monitoring returns the handler of a port that shows the state and the metrics
+// and changes nothing.
+func Monitoring(of Monitored) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+grwire.StatusPath, func(w http.ResponseWriter, _ *http.Request) {
+		Reply(w, http.StatusOK, of.Status())
+	})
+	mux.HandleFunc("GET "+grwire.MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeMetrics(w, of)
+	})
+	return mux
+}
+
+func writeMetrics(w http.ResponseWriter, of Monitored) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_ = of.WriteMetrics(w) // The collector is gone if this fails.
 }
 
 // Operators returns the handler of the operators' port. Changes need the token
@@ -62,7 +87,7 @@
 	})
 	mux.HandleFunc("GET "+grwire.MetricsPath, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("format") == "text" {
-			metrics.WriteOnce(registry, w)
+			writeMetrics(w, service)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/transport/grlog/story_test.go
@@ -0,0 +1,26 @@
+package grlog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestStory tells the story of a request from the logs of several instances.
+func TestStory(t *testing.T) {
+	datadriven.RunTest(t, "testdata/story", func(t *testing.T, d *datadriven.TestData) string {
+		events, err := Read(strings.NewReader(d.Input))
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		var id string
+		d.ScanArgs(t, "id", &id)
+		var text strings.Builder
+		for _, e := range Story(events, id) {
+			fmt.Fprintf(&text, "%s %s %s %q\n", e.At.Format("05.000"), e.Instance, e.Name, e.Request)
+		}
+		return text.String()
+	})
+}
--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -224,6 +224,11 @@
 			answer.Parts = append(answer.Parts, part)
 		}
 	}
+	if answer.Failed {
+		l.node.Log.Info("group not answered",
+			zap.String("request_id", e.Ask.ID), zap.String("peer", string(e.To)), zap.Bool("sent", e.Sent),
+			zap.Int("services", len(e.Ask.Services)))
+	}
 	l.router.GroupDone(now, e.To, grid.QueryID(e.Ask.Query), e.Ask.Group, &answer, &l.out)
 }
 
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -84,6 +84,7 @@
 	lowering  int                              // divisor that the control duty waits for, or 0
 	checkAt   grclock.Millis
 	counts    counts
+	routes    map[string]bool // that are counted apart
 }
 
 // unsent is an attempt whose query ended before it could be sent.
@@ -100,6 +101,7 @@
 	l.asks = make(map[grid.QueryID]ask)
 	l.numbers = make(map[uint64]grid.QueryID)
 	l.addresses = make(map[grid.SearcherID]grid.Address)
+	l.routes = make(map[string]bool)
 	l.counts.register(l.node.Metrics)
 }
 
@@ -301,7 +303,7 @@
 		delete(l.numbers, ask.number)
 	}
 	if ask.request != nil {
-		l.logEnd(ask.request, result)
+		l.noteEnd(ask.request, result)
 	}
 	ask.result <- *result
 }
--- /dev/null
+++ b/transport/grnode/monitor.go
@@ -0,0 +1,81 @@
+package grnode
+
+import (
+	"io"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumrouter/coordination/grleaf"
+	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/protocol/grwire"
+	"geraniumrouter/state/grid"
+	"geraniumrouter/transport/grmetric"
+)
+
+// WriteMetrics writes what was counted since the start, and the state at this
+// moment, as text.
+func (n *Node) WriteMetrics(w io.Writer) error {
+	if err := grmetric.Write(w, n.Metrics); err != nil {
+		return err
+	}
+	state := metrics.NewRegistry()
+	n.measureSelf(state)
+	n.inspect(func(r *grrouter.Router) {
+		for i := range r.Services() {
+			measureService(state, r.Service(int32(i)), r.Leaf(int32(i)))
+		}
+	})
+	return grmetric.Write(w, state)
+}
+
+// Status describes the instance to operators.
+func (n *Node) Status() grwire.StatusReply { return operatorDesk{n}.Status() }
+
+func (n *Node) measureSelf(state metrics.Registry) {
+	if t := n.table.Load(); t != nil {
+		grmetric.Set(state, int64(t.Version), "table_version")
+		grmetric.Set(state, int64(len(t.Routes)), "table_routes")
+		grmetric.Set(state, int64(n.Clock.Now())-n.tableAtMS.Load(), "table_age_ms")
+	}
+	grmetric.Set(state, n.inFlight.Load(), "requests_in_flight")
+	grmetric.Set(state, count(n.Ready()), "ready")
+	grmetric.Set(state, count(n.Watching()), "watching")
+	grmetric.Set(state, int64(n.Phase()), "shutdown_phase")
+	states := make(map[string]int64)
+	for _, m := range n.members() {
+		states[m.State.String()]++
+	}
+	for name, number := range states {
+		grmetric.Set(state, number, "members", "state", name)
+	}
+}
+
+func measureService(state metrics.Registry, name grid.Service, leaf *grleaf.Leaf) {
+	service := string(name)
+	c := &leaf.Counters
+	for kind, number := range map[string]uint64{
+		"first": c.First, "hedged": c.Hedges, "retried": c.Retries, "resent": c.Resent,
+		"shed": c.Sheds, "dropped": c.Dropped, "hedge_denied": c.HedgesDenied, "retry_denied": c.RetriesDenied,
+		"not_answered": c.NotAnswered,
+	} {
+		if number > 0 {
+			grmetric.Set(state, int64(number), "service_subrequests_total", "service", service, "kind", kind)
+		}
+	}
+	grmetric.Set(state, int64(c.ConnsOpened), "service_connections_opened_total", "service", service)
+	grmetric.Set(state, int64(leaf.Waiting()), "service_waiting", "service", service)
+	for i, s := range leaf.Searchers() {
+		if held := leaf.Conns(int32(i)); held > 0 {
+			labels := []string{"service", service, "searcher", string(s.ID), "leaving", strconv.FormatBool(s.Leaving)}
+			grmetric.Set(state, int64(held), "searcher_connections", labels...)
+		}
+	}
+}
+
+func count(yes bool) int64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -60,6 +60,8 @@
 	table    atomic.Pointer[grtable.Table]
 	ready    atomic.Bool // with an Adapter: there is a table and a searcher
 
+	tableAtMS atomic.Int64 // start of the table
+
 	gatherMu   sync.Mutex
 	gathering  map[gatherKey]*gathered // groups of other instances whose rest may be asked for
 	lags       map[string]*grstat.Lag  // of calls for groups, by the asking run
@@ -96,8 +98,10 @@
 	} else {
 		n.serveOwn(secure)
 	}
-	n.Log.Info("instance started", zap.String("instance", string(n.Settings.Instance)))
-	return n.group.Wait()
+	n.Log.Info("instance started", zap.Uint64("run", uint64(n.run)))
+	err = n.group.Wait()
+	n.Log.Info("instance stopped", zap.Error(err))
+	return err
 }
 
 // serveOwn starts the duties of the project's own interface.
@@ -120,6 +124,7 @@
 	if n.Metrics == nil {
 		n.Metrics = metrics.NewRegistry()
 	}
+	n.Log = n.Log.With(zap.String("instance", string(n.Settings.Instance)))
 	n.run = grid.Incarnation(n.Clock.Now())
 	n.group = grgroup.New(ctx)
 	n.events = grring.New[event](eventRing)
--- a/transport/grnode/operators.go
+++ b/transport/grnode/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 
 	"geraniumrouter/coordination/grchange"
@@ -158,6 +159,10 @@
 		Phase:    d.node.control.currentPhase().String(),
 	}
 	status.PlatformUp = d.node.platformUp.Load()
+	if t := d.node.table.Load(); t != nil {
+		status.TableVersion = uint64(t.Version)
+	}
+	status.Ready, status.Watching = d.node.Ready(), d.node.Watching()
 	for _, m := range d.node.members() {
 		if m.ID != d.node.Settings.Instance {
 			status.Peers = append(status.Peers, grwire.InstanceStatus{
@@ -169,6 +174,9 @@
 	return status
 }
 
+// WriteMetrics writes the metrics as text.
+func (d operatorDesk) WriteMetrics(w io.Writer) error { return d.node.WriteMetrics(w) }
+
 // Drain starts a graceful shutdown.
 func (d operatorDesk) Drain() grwire.StatusReply {
 	d.node.control.post(controlEvent{drain: true})
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -99,6 +99,7 @@
 // takeTable puts a routing table in force.
 func (c *control) takeTable(t *grtable.Table) {
 	c.node.table.Store(t)
+	c.node.tableAtMS.Store(int64(c.node.Clock.Now()))
 	c.node.post(event{kind: tableEvent, table: t})
 	c.node.Log.Info("table in force", zap.Uint64("version", uint64(t.Version)), zap.Int("routes", len(t.Routes)))
 }
