Budget of time for extra sub-requests; spread of searchers without echoes

Cause: (1) on 32 instances a lookup at one searcher earns 0.2 of an extra sub-request, and an instance sees 0.35 lookups a second: its budget was nearly always empty, so that a lookup whose searcher crashed ended with 502 although another could have answered. Change: grstat.Bound divides the bound among members; a part of its number comes with time. Members lost of late still count. Messages of peers are CBOR; digests hold what is known of a searcher, not its revision; what every instance reads at its start is learned, not pushed.

--- a/coordination/grcontrol/control.go
+++ b/coordination/grcontrol/control.go
@@ -59,6 +59,9 @@
 	HeartbeatInterval = 500 * grclock.Millisecond
 	SuspectAfter      = 1500 * grclock.Millisecond
 	settleAfter       = grclock.Second // wait for peers at the start, without the platform
+	// readWithin is how long an instance that starts reads from the platform before
+	// it takes from others all that it lacks.
+	readWithin = 500 * grclock.Millisecond
 )
 
 // Sizes of the control duty.
@@ -117,6 +120,8 @@
 		// Each instance hears of a change from several others, and digests find
 		// what got lost.
 		c.items.Rounds = 1
+		c.items.Mark = markOf
+		c.items.RepairFrom = now + readWithin
 		c.items.Large = func(item Item) bool { return item.Value.Kind == TableKind || item.Value.Kind == SearcherKind }
 	}
 	c.shares.Changed = func(grclock.Millis, Item, Item) { c.unreviewed = true }
--- a/coordination/grcontrol/heartbeat.go
+++ b/coordination/grcontrol/heartbeat.go
@@ -22,7 +22,9 @@
 	outside := Message{From: c.Self.Member, Load: c.Load, Body: c.items.Push()}
 	inside := outside
 	group := c.shares.Push()
-	inside.Group = &group
+	if !c.Unproven {
+		inside.Group = &group
+	}
 	for _, m := range c.neighbours() {
 		if _, waiting := c.asked[m.ID]; !waiting {
 			c.asked[m.ID] = now
@@ -161,6 +163,9 @@
 // Reach tells the others whether this instance reaches the platform. One that
 // does not leaves watching to others and goes on trying.
 func (c *Control) Reach(now grclock.Millis, reached bool, out *Out) {
+	if !reached {
+		c.items.RepairFrom = min(c.items.RepairFrom, now)
+	}
 	if c.Self.Blind != reached {
 		return
 	}
--- a/coordination/grcontrol/searcher.go
+++ b/coordination/grcontrol/searcher.go
@@ -61,19 +61,42 @@
 
 // TakeRevision takes what the platform held of a searcher at a revision. The
 // platform orders all its changes by one counter, so that what an instance read
-// late never undoes what another read since.
-func (c *Control) TakeRevision(now grclock.Millis, list []ListedSearcher, at []grid.Revision, out *Out) {
+// late never undoes what another read since. What every instance reads at its
+// start is learned only and not pushed.
+func (c *Control) TakeRevision(now grclock.Millis, list []ListedSearcher, at []grid.Revision, learned bool, out *Out) {
 	c.with(out, func() {
 		for i := range list {
 			if c.holds(&list[i]) {
 				continue
 			}
 			version := grspread.Version(at[i])<<stateBits | grspread.Version(list[i].State)
-			c.put(now, searcherKey(list[i].ID), version, Value{Kind: SearcherKind, Searcher: list[i].Searcher})
+			item := Item{Key: searcherKey(list[i].ID), Version: version, Value: Value{Kind: SearcherKind, Searcher: list[i].Searcher}}
+			if learned {
+				c.items.Learn(now, item)
+			} else {
+				c.items.Put(now, item)
+			}
 		}
 	})
 }
 
+// markOf returns what an item adds to the digests: for a searcher what is known
+// of it, whatever the revision at which it was read.
+func markOf(item Item) uint64 {
+	if item.Value.Kind != SearcherKind {
+		return uint64(item.Version)
+	}
+	s := &item.Value.Searcher
+	mark := uint64(StateOf(item.Version))
+	for _, part := range []uint64{
+		grid.Hash(s.Service), grid.Hash(s.Address), grid.Hash(s.Domain),
+		uint64(s.Run), uint64(s.Slots), uint64(s.ConnLimit), uint64(s.Entered),
+	} {
+		mark = grid.Mix(mark ^ part)
+	}
+	return mark
+}
+
 // holds reports whether a searcher is known just like this. Entries also change
 // in what nobody here uses. One that was made anew is another, so that its word
 // is later than that of the loss of the one before.
--- a/coordination/grcontrol/searcher_test.go
+++ b/coordination/grcontrol/searcher_test.go
@@ -14,7 +14,7 @@
 	c.Init(0, &out)
 	put := func(entered, at grid.Revision, state State) {
 		s := ListedSearcher{Searcher: Searcher{ID: "s", Service: "a", Entered: entered}, State: state}
-		c.TakeRevision(0, []ListedSearcher{s}, []grid.Revision{at}, &out)
+		c.TakeRevision(0, []ListedSearcher{s}, []grid.Revision{at}, false, &out)
 	}
 	put(50, 50, Live)
 	put(50, 60, Live)   // Something that is not used changed.
--- a/coordination/grcontrol/share.go
+++ b/coordination/grcontrol/share.go
@@ -77,6 +77,9 @@
 }
 
 func (c *Control) publishHolding(now grclock.Millis) {
+	if c.Unproven {
+		return
+	}
 	c.holdSeq++
 	published := grshare.Holding{Divisor: c.holding.Divisor, Counted: slices.Clone(c.holding.Counted)}
 	version := grspread.Version(uint64(c.Self.Run)<<20 + c.holdSeq)
--- a/coordination/grleaf/earning.go
+++ b/coordination/grleaf/earning.go
@@ -1,5 +1,7 @@
 package grleaf
 
+import "geraniumrouter/state/grclock"
+
 // Earning says what a sub-request brings into the budget for extra ones. One
 // that another instance was asked for brings a part at either.
 type Earning uint8
@@ -20,8 +22,8 @@
 
 // SpendExtra pays for a sub-request that another instance may have sent already,
 // and reports false when the budget does not allow it.
-func (l *Leaf) SpendExtra() bool {
-	if l.Retries.Spend() {
+func (l *Leaf) SpendExtra(now grclock.Millis) bool {
+	if l.Retries.Spend(now) {
 		return true
 	}
 	l.Counters.RetriesDenied++
--- a/coordination/grleaf/reply.go
+++ b/coordination/grleaf/reply.go
@@ -93,7 +93,7 @@
 	if s.active > 0 || s.queued {
 		return
 	}
-	if !l.mayRetry(s, reply.Kind) {
+	if !l.mayRetry(now, s, reply.Kind) {
 		l.finish(now, index, l.endOf(s, NotStarted), out)
 		return
 	}
@@ -115,17 +115,17 @@
 // start is, for as long as its deadline allows: the pause of the searcher that
 // shed it bounds the extra work. Others are paid from the budget, and one that
 // is not idempotent is not sent again once it may have started.
-func (l *Leaf) mayRetry(s *sub, kind ReplyKind) bool {
+func (l *Leaf) mayRetry(now grclock.Millis, s *sub, kind ReplyKind) bool {
 	if kind.notStarted() {
-		return (!s.started || !s.Once) && l.payResend(kind)
+		return (!s.started || !s.Once) && l.payResend(now, kind)
 	}
 	if kind == Cancelled {
-		return int(s.sent) < maxCopies && l.Retries.Spend()
+		return int(s.sent) < maxCopies && l.Retries.Spend(now)
 	}
 	if s.Once && s.started || int(s.sent) >= l.maxAttempts(s) || !l.hasUntried(s) {
 		return false
 	}
-	if !l.Retries.Spend() {
+	if !l.Retries.Spend(now) {
 		l.Counters.RetriesDenied++
 		return false
 	}
@@ -135,8 +135,8 @@
 // payResend pays for a copy in place of one that did not start, where arrivals
 // that searchers turn away count as extra work. One of which no byte was sent
 // never arrived.
-func (l *Leaf) payResend(kind ReplyKind) bool {
-	if kind == Refused || !l.Policy.PayResends || l.Retries.Spend() {
+func (l *Leaf) payResend(now grclock.Millis, kind ReplyKind) bool {
+	if kind == Refused || !l.Policy.PayResends || l.Retries.Spend(now) {
 		return true
 	}
 	l.Counters.RetriesDenied++
--- a/coordination/grrouter/budget.go
+++ b/coordination/grrouter/budget.go
@@ -12,12 +12,12 @@
 	r.retries.Share, r.retries.Reserve = r.Policy.RetryShare, reserve
 }
 
-// SetReserve changes how many extra sub-requests to each service can be saved
-// up.
-func (r *Router) SetReserve(reserve float64) {
-	r.ServiceBudget.Reserve = reserve
+// SetBudget changes the terms of what pays for the extra sub-requests of each
+// service.
+func (r *Router) SetBudget(terms grstat.Budget) {
+	r.ServiceBudget.SetTerms(terms)
 	for _, b := range r.budgets {
-		b.Reserve = reserve
+		b.SetTerms(terms)
 	}
 }
 
--- a/coordination/grrouter/group.go
+++ b/coordination/grrouter/group.go
@@ -117,7 +117,7 @@
 	for _, shard := range g.shards {
 		switch {
 		case q.settled[shard] || !d.away[shard]:
-		case !sent || r.leaves[q.leaves[shard]].SpendExtra():
+		case !sent || r.leaves[q.leaves[shard]].SpendExtra(now):
 			r.submitStraight(now, q, shard, sent, out)
 		default:
 			q.settled[shard] = true
@@ -180,7 +180,7 @@
 		}
 		r.notePeer(now, g.peer, false)
 		for _, shard := range g.shards {
-			if want > 0 && r.leaves[q.leaves[shard]].SpendExtra() {
+			if want > 0 && r.leaves[q.leaves[shard]].SpendExtra(now) {
 				want--
 				q.started = true
 				r.submitStraight(now, q, shard, true, out)
--- a/coordination/grspread/repair_test.go
+++ b/coordination/grspread/repair_test.go
@@ -40,3 +40,26 @@
 		}
 	})
 }
+
+// TestMark says nothing where instances hold the same at different versions, and
+// pushes nothing of what they all read.
+func TestMark(t *testing.T) {
+	mark := func(item Item[int]) uint64 { return uint64(item.Value) }
+	a, b := Map[int]{Mark: mark}, Map[int]{Mark: mark}
+	for i := range 300 {
+		key := Key(fmt.Sprint("k", i))
+		a.Learn(0, Item[int]{Key: key, Version: Version(100 + i), Value: i})
+		b.Learn(0, Item[int]{Key: key, Version: Version(900 + i), Value: i})
+	}
+	if _, ok := a.Fresh(); ok {
+		t.Error("what was learned is pushed")
+	}
+	if steps := exchange(repairEvery, &a, &b, Message[int]{Digest: a.Digest()}); steps > 1 {
+		t.Errorf("%d messages between maps that hold the same", steps)
+	}
+	a.Put(repairEvery, Item[int]{Key: "k7", Version: 2000, Value: -1})
+	exchange(3*repairEvery, &a, &b, Message[int]{Digest: a.Digest()})
+	if item, _ := b.Get("k7"); item.Value != -1 {
+		t.Errorf("%v after a change", item)
+	}
+}
--- a/coordination/grspread/spread.go
+++ b/coordination/grspread/spread.go
@@ -61,6 +61,14 @@
 	// they are asked for, since each reaches an instance on several ways; nil: none.
 	Large func(item Item[V]) bool
 
+	// RepairFrom is the time before which maps are not compared: at a start an
+	// instance reads for itself most of what it lacks.
+	RepairFrom grclock.Millis
+	// Mark returns what an item adds to the digests; nil: its version. Instances
+	// that read the same from the platform at different times hold it at
+	// different versions, which is no reason to tell each other.
+	Mark func(item Item[V]) uint64
+
 	items   map[Key]Item[V]
 	digests [buckets]Digest
 	whole   Digest
@@ -134,6 +142,19 @@
 // Put takes an item if its version is higher than the one held, and reports
 // whether it did. The change is then pushed with the next messages.
 func (m *Map[V]) Put(now grclock.Millis, item Item[V]) bool {
+	if !m.Learn(now, item) {
+		return false
+	}
+	if len(m.hot) < maxFresh {
+		m.hot[item.Key] = max(m.Rounds, 1)
+	}
+	m.fresh = append(m.fresh, item.Key)
+	return true
+}
+
+// Learn takes an item like Put, but does not push it: the others learn it from
+// the same source, and digests find those that do not.
+func (m *Map[V]) Learn(now grclock.Millis, item Item[V]) bool {
 	if m.items == nil {
 		m.items = make(map[Key]Item[V])
 		m.hot = make(map[Key]int)
@@ -143,18 +164,14 @@
 		return false
 	}
 	part := partOf(item.Key)
-	change := digestOf(item.Key, item.Version)
+	change := m.digestOf(item)
 	if held {
-		change ^= digestOf(old.Key, old.Version)
+		change ^= m.digestOf(old)
 	}
 	m.items[item.Key] = item
 	m.changedAt = now
 	m.digests[part] ^= change
 	m.whole ^= change
-	if len(m.hot) < maxFresh {
-		m.hot[item.Key] = max(m.Rounds, 1)
-	}
-	m.fresh = append(m.fresh, item.Key)
 	if m.Changed != nil {
 		m.Changed(now, old, item)
 	}
@@ -188,7 +205,7 @@
 // when nothing needs to be said.
 func (m *Map[V]) Receive(now grclock.Millis, got Message[V]) (answer Message[V], ok bool) {
 	for _, item := range got.Items {
-		m.Put(now, item)
+		m.take(now, item)
 	}
 	answer.Digest = m.whole
 	m.supply(got.Want, &answer)
@@ -205,6 +222,18 @@
 	return answer, len(answer.Items)+len(answer.Buckets)+len(answer.Parts)+len(answer.Want) > 0
 }
 
+// take takes an item of another instance. A large one that was not offered was
+// found by comparing digests: it is no news to the others.
+func (m *Map[V]) take(now grclock.Millis, item Item[V]) {
+	_, offered := m.asked[item.Key]
+	delete(m.asked, item.Key)
+	if m.Large != nil && m.Large(item) && !offered {
+		m.Learn(now, item)
+		return
+	}
+	m.Put(now, item)
+}
+
 // ask asks for the offers that are newer than what is held, each from one
 // instance at a time.
 func (m *Map[V]) ask(now grclock.Millis, offers []Listed, answer *Message[V]) {
@@ -233,6 +262,9 @@
 // maps differ for as long as its pushes take, and comparing them would cost far
 // more than the change.
 func (m *Map[V]) mayRepair(now grclock.Millis) bool {
+	if now < m.RepairFrom {
+		return false
+	}
 	return now-m.changedAt >= quietFor || now-m.repairedAt >= repairEvery
 }
 
@@ -285,6 +317,10 @@
 
 func partOf(key Key) int { return int(grid.Hash(key) % buckets) }
 
-func digestOf(key Key, version Version) Digest {
-	return Digest(grid.Mix(grid.Hash(key) ^ grid.Mix(uint64(version)+1)))
+func (m *Map[V]) digestOf(item Item[V]) Digest {
+	mark := uint64(item.Version)
+	if m.Mark != nil {
+		mark = m.Mark(item)
+	}
+	return Digest(grid.Mix(grid.Hash(item.Key) ^ grid.Mix(mark+1)))
 }
--- a/coordination/grstat/budget.go
+++ b/coordination/grstat/budget.go
@@ -1,21 +1,32 @@
 package grstat
 
-// Budget pays for extra work out of a share of the ordinary work, so that
-// extra work stops when it would multiply. The zero value pays for nothing.
+import "geraniumrouter/state/grclock"
+
+// Budget pays for extra work out of a share of the ordinary work and of time, so
+// that extra work stops when it would multiply. The zero value pays for nothing.
 type Budget struct {
 	Share   float64 // extra units earned by each ordinary unit
 	Reserve float64 // most units that can be saved up
+	PerMS   float64 // extra units that each millisecond brings
 	tokens  float64
+	seenAt  grclock.Millis // up to which time was counted; 0: not yet
 }
 
 // Fill saves up as much as the budget can hold.
 func (b *Budget) Fill() { b.tokens = b.Reserve }
 
+// SetTerms changes what the budget earns and holds, and keeps what it saved.
+func (b *Budget) SetTerms(terms Budget) {
+	b.Share, b.Reserve, b.PerMS = terms.Share, terms.Reserve, terms.PerMS
+	b.tokens = min(b.tokens, b.Reserve)
+}
+
 // Earn notes one ordinary unit of work, or a part of one.
 func (b *Budget) Earn(part float64) { b.tokens = min(b.tokens+part*b.Share, b.Reserve) }
 
 // Spend takes one extra unit, and reports false when there is none.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend(now grclock.Millis) bool {
+	b.pass(now)
 	if b.tokens < 1 {
 		return false
 	}
@@ -26,32 +37,37 @@
 // Refund gives back a unit that was spent and not used.
 func (b *Budget) Refund() { b.tokens++ }
 
-// Mean is a decaying mean. The zero value has seen no sample.
-type Mean struct {
-	value float64
-	seen  bool
-}
-
-// Add mixes a sample in with the given weight in (0, 1].
-func (m *Mean) Add(sample, weight float64) {
-	if !m.seen {
-		m.value, m.seen = sample, true
-		return
+// pass lets time bring its part. The first call only starts to count, so that
+// restarts bring nothing.
+func (b *Budget) pass(now grclock.Millis) {
+	if b.seenAt > 0 && now > b.seenAt {
+		b.tokens = min(b.tokens+b.PerMS*float64(now-b.seenAt), max(b.Reserve, b.tokens))
 	}
-	m.value += weight * (sample - m.value)
+	b.seenAt = max(b.seenAt, now)
 }
 
-// Raise lifts the mean to at least the given bound.
-func (m *Mean) Raise(bound float64) {
-	if !m.seen || m.value < bound {
-		m.value, m.seen = bound, true
-	}
+// Bound limits extra work over all instances: in any window it is at most a share
+// of the ordinary work and a number beyond that.
+type Bound struct {
+	Share  float64
+	Count  float64
+	Window grclock.Millis
 }
 
-// Value returns the mean, or the fallback before the first sample.
-func (m *Mean) Value(fallback float64) float64 {
-	if !m.seen {
-		return fallback
+// Parts of a bound that instances use. The rest of it covers what instances that
+// have just ended spent.
+const (
+	shareUsed = 0.95
+	countUsed = 0.8
+	savedPart = 0.6 // of the number, that can be saved up; time brings the rest
+)
+
+// PartOf returns the budget of one of so many instances.
+func (b Bound) PartOf(members int) Budget {
+	count := countUsed * b.Count / float64(max(members, 1))
+	budget := Budget{Share: shareUsed * b.Share, Reserve: savedPart * count}
+	if b.Window > 0 {
+		budget.PerMS = (1 - savedPart) * count / float64(b.Window)
 	}
-	return m.value
+	return budget
 }
--- a/coordination/grstat/example_test.go
+++ b/coordination/grstat/example_test.go
@@ -17,6 +17,6 @@
 	for range 4 {
 		budget.Earn(1)
 	}
-	fmt.Println(latencies.At(0.9) < 15, budget.Spend(), budget.Spend())
+	fmt.Println(latencies.At(0.9) < 15, budget.Spend(1), budget.Spend(1))
 	// Output: true true false
 }
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -1,31 +1,34 @@
 package grwire
 
 import (
+	"github.com/fxamacker/cbor/v2"
+
 	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grshare"
 	"geraniumrouter/coordination/grspread"
 	"geraniumrouter/state/grid"
 )
 
-// PeerMessage is what entry instances send each other over net/rpc. It is
-// encoded by encoding/gob, which leaves out empty fields.
+// PeerMessage is what entry instances send each other over net/rpc. It travels
+// as CBOR with numbers for names: the codec of net/rpc describes every type on
+// each new connection, which would be more than most messages.
 type PeerMessage struct {
-	From  RunWire
-	Load  int
-	Body  SpreadWire
-	Group *SpreadWire // how the sender's group divides connection limits
-	Empty bool        // an answer that says nothing
+	From  RunWire     `cbor:"1,keyasint,omitempty"`
+	Load  int         `cbor:"2,keyasint,omitempty"`
+	Body  SpreadWire  `cbor:"3,keyasint,omitempty"`
+	Group *SpreadWire `cbor:"4,keyasint,omitempty"` // how the sender's group divides connection limits
+	Empty bool        `cbor:"5,keyasint,omitempty"` // an answer that says nothing
 }
 
 // SpreadWire is about one map of items.
 type SpreadWire struct {
-	Digest  uint64
-	Buckets []uint64
-	Parts   []uint8
-	Listed  []ListedWire
-	Want    []string
-	Offers  []ListedWire
-	Items   []ItemWire
+	Digest  uint64       `cbor:"1,keyasint,omitempty"`
+	Buckets []uint64     `cbor:"2,keyasint,omitempty"`
+	Parts   []uint8      `cbor:"3,keyasint,omitempty"`
+	Listed  []ListedWire `cbor:"4,keyasint,omitempty"`
+	Want    []string     `cbor:"5,keyasint,omitempty"`
+	Offers  []ListedWire `cbor:"6,keyasint,omitempty"`
+	Items   []ItemWire   `cbor:"7,keyasint,omitempty"`
 }
 
 // StatusAsk asks a peer for its status.
@@ -35,52 +38,83 @@
 
 // RunWire is one run of an instance.
 type RunWire struct {
-	ID  string `json:"id"`
-	Run uint64 `json:"run"`
+	ID  string `json:"id" cbor:"1,keyasint,omitempty"`
+	Run uint64 `json:"run" cbor:"2,keyasint,omitempty"`
 }
 
 // ListedWire is a key with its version.
 type ListedWire struct {
-	Key     string
-	Version uint64
+	Key     string `cbor:"1,keyasint,omitempty"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ItemWire is an item; the field that its kind names is set.
 type ItemWire struct {
-	Key      string
-	Version  uint64
-	Kind     uint8
-	Member   *MemberWire
-	Searcher *SearcherWire
-	Holding  *HoldingWire
-	Active   *ActiveWire
-	Map      *MapWire
-	Table    *TableWire
+	Key      string        `cbor:"1,keyasint,omitempty"`
+	Version  uint64        `cbor:"2,keyasint,omitempty"`
+	Kind     uint8         `cbor:"3,keyasint,omitempty"`
+	Member   *MemberWire   `cbor:"4,keyasint,omitempty"`
+	Searcher *SearcherWire `cbor:"5,keyasint,omitempty"`
+	Holding  *HoldingWire  `cbor:"6,keyasint,omitempty"`
+	Active   *ActiveWire   `cbor:"7,keyasint,omitempty"`
+	Map      *MapWire      `cbor:"8,keyasint,omitempty"`
+	Table    *TableWire    `cbor:"9,keyasint,omitempty"`
 }
 
 // MemberWire describes an entry instance.
 type MemberWire struct {
 	RunWire
-	Peers   string `json:"peers"`
-	Callers string `json:"callers"`
-	Domain  string `json:"failure_domain"`
-	Blind   bool   `json:"blind,omitempty"`
+	Peers   string `json:"peers" cbor:"3,keyasint,omitempty"`
+	Callers string `json:"callers" cbor:"4,keyasint,omitempty"`
+	Domain  string `json:"failure_domain" cbor:"5,keyasint,omitempty"`
+	Blind   bool   `json:"blind,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // SearcherWire describes a searcher.
 type SearcherWire struct {
-	ID                       string
-	Run                      uint64
-	Service, Address, Domain string
-	Slots, ConnLimit         int
-	Entered                  uint64
+	ID        string `cbor:"1,keyasint,omitempty"`
+	Run       uint64 `cbor:"2,keyasint,omitempty"`
+	Service   string `cbor:"3,keyasint,omitempty"`
+	Address   string `cbor:"4,keyasint,omitempty"`
+	Domain    string `cbor:"5,keyasint,omitempty"`
+	Slots     int    `cbor:"6,keyasint,omitempty"`
+	ConnLimit int    `cbor:"7,keyasint,omitempty"`
+	Entered   uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // HoldingWire tells how an instance divides connection limits.
 type HoldingWire struct {
-	Holder  RunWire
-	Divisor int
-	Counted []RunWire
+	Holder  RunWire   `cbor:"1,keyasint,omitempty"`
+	Divisor int       `cbor:"2,keyasint,omitempty"`
+	Counted []RunWire `cbor:"3,keyasint,omitempty"`
+}
+
+// BadPeerMessage says that a message of a peer could not be read.
+type BadPeerMessage struct{ Err error }
+
+// Error describes the failure.
+func (e *BadPeerMessage) Error() string { return "message of a peer: " + e.Err.Error() }
+
+// Unwrap returns what the codec said.
+func (e *BadPeerMessage) Unwrap() error { return e.Err }
+
+// EncodePeer returns the bytes of a message.
+func EncodePeer(w *PeerMessage) ([]byte, error) {
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		return nil, &BadPeerMessage{err}
+	}
+	return data, nil
+}
+
+// DecodePeer reads the bytes of a message. Fields that are not known are left
+// out.
+func DecodePeer(data []byte) (PeerMessage, error) {
+	var w PeerMessage
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return w, &BadPeerMessage{err}
+	}
+	return w, nil
 }
 
 // PeerMessageTo maps a message to the wire.
--- a/protocol/grwire/table.go
+++ b/protocol/grwire/table.go
@@ -8,39 +8,46 @@
 
 // TableWire is a routing table between instances.
 type TableWire struct {
-	Version  uint64
-	Routes   []RouteWire
-	Services []ServiceWire
-	Limits   LimitsWire
+	Version  uint64        `cbor:"1,keyasint,omitempty"`
+	Routes   []RouteWire   `cbor:"2,keyasint,omitempty"`
+	Services []ServiceWire `cbor:"3,keyasint,omitempty"`
+	Limits   LimitsWire    `cbor:"4,keyasint,omitempty"`
 }
 
 // RouteWire is a route.
 type RouteWire struct {
-	Name, Host, Prefix     string
-	Idempotent, AllShards  bool
-	Targets                []TargetWire
-	TimeoutMS, ObjectiveMS int64
-	MaxAttempts, Priority  int
-	MinShare               float64
-	Top                    int
+	Name        string       `cbor:"1,keyasint,omitempty"`
+	Host        string       `cbor:"2,keyasint,omitempty"`
+	Prefix      string       `cbor:"3,keyasint,omitempty"`
+	Idempotent  bool         `cbor:"4,keyasint,omitempty"`
+	AllShards   bool         `cbor:"5,keyasint,omitempty"`
+	Targets     []TargetWire `cbor:"6,keyasint,omitempty"`
+	TimeoutMS   int64        `cbor:"7,keyasint,omitempty"`
+	ObjectiveMS int64        `cbor:"8,keyasint,omitempty"`
+	MaxAttempts int          `cbor:"9,keyasint,omitempty"`
+	Priority    int          `cbor:"10,keyasint,omitempty"`
+	MinShare    float64      `cbor:"11,keyasint,omitempty"`
+	Top         int          `cbor:"12,keyasint,omitempty"`
 }
 
 // TargetWire is an alternative of a route.
 type TargetWire struct {
-	Weight   float64
-	Services []string
+	Weight   float64  `cbor:"1,keyasint,omitempty"`
+	Services []string `cbor:"2,keyasint,omitempty"`
 }
 
 // ServiceWire is a service.
 type ServiceWire struct {
-	Name      string
-	ConnLimit int
+	Name      string `cbor:"1,keyasint,omitempty"`
+	ConnLimit int    `cbor:"2,keyasint,omitempty"`
 }
 
 // LimitsWire bounds what callers may send.
 type LimitsWire struct {
-	HeaderBytes, BodyBytes         int
-	HeaderTimeoutMS, IdleTimeoutMS int64
+	HeaderBytes     int   `cbor:"1,keyasint,omitempty"`
+	BodyBytes       int   `cbor:"2,keyasint,omitempty"`
+	HeaderTimeoutMS int64 `cbor:"3,keyasint,omitempty"`
+	IdleTimeoutMS   int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // TableTo maps a table to the wire.
--- a/protocol/grwire/wire_test.go
+++ b/protocol/grwire/wire_test.go
@@ -1,8 +1,6 @@
 package grwire
 
 import (
-	"bytes"
-	"encoding/gob"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -51,7 +49,7 @@
 	}
 }
 
-// TestPeerMessage reads back every kind of item through gob.
+// TestPeerMessage reads back every kind of item.
 func TestPeerMessage(t *testing.T) {
 	run := grshare.Member{ID: "entry-1", Run: 7}
 	active := grpreset.Active{Generation: 1, Preset: preset()}
@@ -73,12 +71,13 @@
 			{Key: "x", Version: 1, Value: grcontrol.Value{Kind: grcontrol.MapKind, Map: shardMap}},
 		},
 	}}
-	var buffer bytes.Buffer
-	if err := gob.NewEncoder(&buffer).Encode(PeerMessageTo(&want)); err != nil {
+	sent := PeerMessageTo(&want)
+	data, err := EncodePeer(&sent)
+	if err != nil {
 		t.Fatal(err)
 	}
-	var w PeerMessage
-	if err := gob.NewDecoder(&buffer).Decode(&w); err != nil {
+	w, err := DecodePeer(data)
+	if err != nil {
 		t.Fatal(err)
 	}
 	if got := PeerMessageFrom(&w); !reflect.DeepEqual(got, want) {
--- a/standin/grstandfleet/fleet.go
+++ b/standin/grstandfleet/fleet.go
@@ -8,7 +8,6 @@
 package grstandfleet
 
 import (
-	"encoding/gob"
 	"fmt"
 
 	"geraniumrouter/coordination/grcontrol"
@@ -82,8 +81,7 @@
 	report    Report
 	cuts      map[[2]int]bool
 	totals    []int // connections by group, for checkShares
-	counter   countingWriter
-	encoder   *gob.Encoder
+	sentBytes int
 }
 
 // Platform is the fake of the platform.
@@ -115,14 +113,6 @@
 	floor      grid.Generation // in force before a restart, where a live peer knew
 }
 
-type countingWriter struct{ bytes int }
-
-// Write counts the bytes.
-func (w *countingWriter) Write(data []byte) (int, error) {
-	w.bytes += len(data)
-	return len(data), nil
-}
-
 // New returns a fleet whose members have just started.
 func New(c Config) *Fleet {
 	if c.Domains == 0 {
@@ -134,7 +124,6 @@
 	f := &Fleet{Config: c, random: grid.Random{State: c.Seed}, cuts: make(map[[2]int]bool), byAddress: make(map[grid.Address]*member)}
 	f.totals = make([]int, f.groups())
 	f.tasks.Less = func(a, b task) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
-	f.encoder = gob.NewEncoder(&f.counter)
 	f.Platform.members = make(map[grid.InstanceID]grcontrol.Member)
 	for i := range c.Searchers {
 		f.Platform.list = append(f.Platform.list, grcontrol.ListedSearcher{Searcher: grcontrol.Searcher{
@@ -171,7 +160,7 @@
 
 // Report returns what was counted so far.
 func (f *Fleet) Report() Report {
-	f.report.Bytes = f.counter.bytes
+	f.report.Bytes = f.sentBytes
 	return f.report
 }
 
@@ -372,11 +361,15 @@
 }
 
 func (f *Fleet) measure(message *grcontrol.Message) {
-	if f.Config.Measure {
-		if err := f.encoder.Encode(grwire.PeerMessageTo(message)); err != nil {
-			f.violate("encode: %v", err)
-		}
+	if !f.Config.Measure {
+		return
+	}
+	wire := grwire.PeerMessageTo(message)
+	data, err := grwire.EncodePeer(&wire)
+	if err != nil {
+		f.violate("encode: %v", err)
 	}
+	f.sentBytes += len(data)
 }
 
 func (f *Fleet) oneWay() grclock.Millis { return 1 + grclock.Millis(f.random.Below(stepOneWay)) }
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -49,7 +49,7 @@
 	}
 	in.router = &grrouter.Router{
 		Seed: w.config.Seed + uint64(i), Self: in.id, Domain: in.domain, Policy: grleaf.RoutePolicy(),
-		ServiceBudget: grstat.Budget{Share: budgetShare, Reserve: budgetCount / float64(w.config.Instances)},
+		ServiceBudget: grstat.Bound{Share: budgetShare, Count: budgetCount, Window: window}.PartOf(w.config.Instances),
 	}
 	if w.config.Plant == NoBudget {
 		in.router.ServiceBudget = grstat.Budget{Share: 9, Reserve: 1e6}
--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -205,7 +205,8 @@
 			asked.Services = append(asked.Services, string(s))
 		}
 	}
-	l.node.gathers.Send(d.To, l.peers[d.To], asked)
+	peer := l.peers[d.To]
+	l.node.gathers.Send(d.To, peer.Peers, l.node.traffic("leaf", peer.Domain), asked)
 }
 
 // gatherDone takes what a peer said of a group.
@@ -234,11 +235,11 @@
 
 // setPeers tells the router which instances it can delegate to.
 func (l *loop) setPeers(now grclock.Millis, members []grcontrol.Member) {
-	l.peers = make(map[grid.InstanceID]grid.Address, len(members))
+	l.peers = make(map[grid.InstanceID]grcontrol.Member, len(members))
 	peers := make([]grrouter.Peer, 0, len(members))
 	for _, m := range members {
 		if m.ID != l.node.Settings.Instance {
-			l.peers[m.ID] = m.Peers
+			l.peers[m.ID] = m
 			peers = append(peers, grrouter.Peer{ID: m.ID, Domain: m.Domain})
 		}
 	}
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -8,6 +8,7 @@
 	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
@@ -31,7 +32,7 @@
 	lowerEvent
 	inspectEvent
 	routeEvent
-	reserveEvent
+	budgetEvent
 	peersEvent
 	tableEvent
 	gatherEvent
@@ -51,7 +52,7 @@
 	active    grpreset.Active
 	divisor   int // that connections must come down to, for lowerEvent
 	inspect   func(r *grrouter.Router)
-	reserve   float64 // extra sub-requests to a service that can be saved up
+	budget    grstat.Budget // for extra sub-requests to each service
 	members   []grcontrol.Member
 	table     *grtable.Table
 	gathered  grpeer.GatherEvent
@@ -80,8 +81,8 @@
 	addresses map[grid.SearcherID]grid.Address
 	out       grrouter.Out
 	unsent    []unsent
-	peers     map[grid.InstanceID]grid.Address // that can be delegated to
-	lowering  int                              // divisor that the control duty waits for, or 0
+	peers     map[grid.InstanceID]grcontrol.Member // that can be delegated to
+	lowering  int                                  // divisor that the control duty waits for, or 0
 	checkAt   grclock.Millis
 	counts    counts
 	routes    map[string]bool // that are counted apart
@@ -151,8 +152,8 @@
 		l.gatherDone(now, &e.gathered)
 	case restEvent:
 		l.router.AskRest(now, l.numbers[e.number], e.want, &l.out)
-	case reserveEvent:
-		l.router.SetReserve(e.reserve)
+	case budgetEvent:
+		l.router.SetBudget(e.budget)
 	case cancelEvent:
 		l.router.Cancel(now, l.numbers[e.number], &l.out)
 	case upstreamEvent:
@@ -253,7 +254,7 @@
 	address := l.addresses[a.ID]
 	switch a.Kind {
 	case grleaf.OpenConn:
-		l.node.pool.Open(place, address)
+		l.node.pool.Open(place, address, l.node.traffic("searcher", l.router.Leaf(a.Service).SearcherAt(a.Searcher).Domain))
 	case grleaf.CloseConn:
 		l.node.pool.Close(place)
 	case grleaf.CancelAttempt:
--- a/transport/grnode/monitor.go
+++ b/transport/grnode/monitor.go
@@ -10,6 +10,7 @@
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grid"
+	"geraniumrouter/transport/grdial"
 	"geraniumrouter/transport/grmetric"
 )
 
@@ -32,6 +33,19 @@
 // Status describes the instance to operators.
 func (n *Node) Status() grwire.StatusReply { return operatorDesk{n}.Status() }
 
+// traffic returns where the bytes of connections to a failure domain count.
+func (n *Node) traffic(to string, domain grid.FailureDomain) grdial.Traffic {
+	where := "own"
+	if domain != n.Settings.FailureDomain {
+		where = "other"
+	}
+	counter := func(direction string) metrics.Counter {
+		name := grmetric.Name("bytes_total", "to", to, "domain", where, "direction", direction)
+		return metrics.GetOrRegisterCounter(name, n.Metrics)
+	}
+	return grdial.Traffic{Sent: counter("sent"), Received: counter("received")}
+}
+
 func (n *Node) measureSelf(state metrics.Registry) {
 	if t := n.table.Load(); t != nil {
 		grmetric.Set(state, int64(t.Version), "table_version")
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -68,6 +68,10 @@
 	platformUp atomic.Bool
 }
 
+// startMembers is the number of instances that share the budget for extra work
+// until the members are known: so many that next to nothing is spent.
+const startMembers = 1 << 20
+
 // eventRing is the number of events that wait for the router's duty.
 const eventRing = 65536
 
@@ -145,6 +149,8 @@
 		Group:  n.group,
 		Clock:  n.Clock,
 		Report: func(e grpeer.Event) { n.control.post(controlEvent{link: &e}) },
+
+		Traffic: n.traffic("member", ""),
 	}
 	n.gathers = &grpeer.Gathers{
 		Group:  n.group,
@@ -162,7 +168,7 @@
 	router := &grrouter.Router{Seed: grid.Hash(n.Settings.Instance) ^ uint64(n.run), Self: n.Settings.Instance, Domain: n.Settings.FailureDomain}
 	if n.Adapter != nil {
 		router.Policy = grleaf.RoutePolicy()
-		router.ServiceBudget = grstat.Budget{Share: extraShareUsed * n.Terms.ExtraShare}
+		router.ServiceBudget = n.Terms.Extra.PartOf(startMembers)
 	}
 	router.Init()
 	return router
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -9,6 +9,7 @@
 	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grdrain"
 	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grtable"
@@ -29,9 +30,8 @@
 
 // RouteTerms holds the terms of an instance that answers requests on routes.
 type RouteTerms struct {
-	ExtraShare float64        // extra sub-requests to a service ÷ requests for it
-	ExtraCount float64        // extra sub-requests to a service beyond that share, over all instances
-	LeaveFor   grclock.Millis // span of a shutdown in which new requests are still taken
+	Extra    grstat.Bound   // of the extra sub-requests to each service, over all instances
+	LeaveFor grclock.Millis // span of a shutdown in which new requests are still taken
 }
 
 // RouteRequest is one request of a caller on a route.
@@ -42,12 +42,9 @@
 	Body  []byte
 }
 
-// Parts of the budget for extra work that an instance uses. The rest covers
-// what instances that have just ended spent.
-const (
-	extraShareUsed = 0.95
-	extraCountUsed = 0.8
-)
+// budgetMemory is how long an instance that was lost still counts among those that
+// share the budget for extra work: it may only be out of reach from here.
+const budgetMemory = 30 * grclock.Second
 
 // Route answers a request on a route. When the caller goes before its end, a
 // request that may be repeated is cancelled.
@@ -64,9 +61,10 @@
 func (n *Node) TakeTable(t *grtable.Table) { n.control.post(controlEvent{table: t}) }
 
 // TakeSearchers hands over what the platform holds of searchers, each at the
-// revision of its last change.
-func (n *Node) TakeSearchers(list []grcontrol.ListedSearcher, at []grid.Revision) {
-	n.control.post(controlEvent{searchers: list, revisions: at})
+// revision of its last change. learned tells that the others read it as well, so
+// that they need not be told.
+func (n *Node) TakeSearchers(list []grcontrol.ListedSearcher, at []grid.Revision, learned bool) {
+	n.control.post(controlEvent{searchers: list, revisions: at, learned: learned})
 }
 
 // TakeSeeds hands over the addresses of other instances.
@@ -116,9 +114,23 @@
 		c.node.Log.Info("ready")
 	}
 	c.node.post(event{kind: peersEvent, members: c.state.Entries(c.node.Settings.FailureDomain, 0)})
+	c.reviewBudget(now)
+}
+
+// reviewBudget divides the budget for extra work among the most members that
+// were known of late.
+func (c *control) reviewBudget(now grclock.Millis) {
+	if c.node.Adapter == nil {
+		return
+	}
 	members := len(c.state.Members())
-	if members != c.members {
-		c.members = members
-		c.node.post(event{kind: reserveEvent, reserve: extraCountUsed * c.node.Terms.ExtraCount / float64(members)})
+	if members < c.members && now-c.membersAt < budgetMemory {
+		return
+	}
+	same := members == c.members
+	c.members, c.membersAt = members, now
+	if same {
+		return
 	}
+	c.node.post(event{kind: budgetEvent, budget: c.node.Terms.Extra.PartOf(members)})
 }
--- a/transport/grpeer/gather.go
+++ b/transport/grpeer/gather.go
@@ -49,6 +49,7 @@
 
 type gatherCall struct {
 	address grid.Address
+	traffic grdial.Traffic
 	ask     *grwire.GatherAsk
 }
 
@@ -63,8 +64,9 @@
 	address grid.Address
 }
 
-// Send asks a peer and reports what came of it.
-func (g *Gathers) Send(to grid.InstanceID, address grid.Address, ask *grwire.GatherAsk) {
+// Send asks a peer and reports what came of it. The bytes of a connection that
+// is opened for it count as traffic.
+func (g *Gathers) Send(to grid.InstanceID, address grid.Address, traffic grdial.Traffic, ask *grwire.GatherAsk) {
 	g.mu.Lock()
 	if g.peers == nil {
 		g.peers = make(map[grid.InstanceID]*gatherPeer)
@@ -77,7 +79,7 @@
 		g.Group.Start(p.report)
 	}
 	g.mu.Unlock()
-	if !p.calls.Offer(gatherCall{address, ask}) {
+	if !p.calls.Offer(gatherCall{address, traffic, ask}) {
 		g.Report(GatherEvent{To: to, Ask: ask})
 	}
 }
@@ -89,7 +91,7 @@
 		case <-ctx.Done():
 			return nil
 		case c := <-p.calls.Out():
-			if !p.connect(ctx, c.address) {
+			if !p.connect(ctx, &c) {
 				p.gathers.Report(GatherEvent{To: p.id, Ask: c.ask})
 				p.refuseWaiting()
 				continue
@@ -112,16 +114,16 @@
 }
 
 // connect opens the connection if none stands, and reports whether one does.
-func (p *gatherPeer) connect(ctx context.Context, address grid.Address) bool {
-	if p.client != nil && !p.broken.Load() && p.address == address {
+func (p *gatherPeer) connect(ctx context.Context, c *gatherCall) bool {
+	if p.client != nil && !p.broken.Load() && p.address == c.address {
 		return true
 	}
 	p.drop()
-	conn, err := grdial.New(gatherDial).DialContext(ctx, "tcp", string(address))
+	conn, err := grdial.New(gatherDial).DialContext(ctx, "tcp", string(c.address))
 	if err != nil {
 		return false
 	}
-	p.client, p.address = rpc.NewClient(conn), address
+	p.client, p.address = rpc.NewClient(c.traffic.Count(conn)), c.address
 	p.broken.Store(false)
 	return true
 }
--- a/transport/grpeer/peer.go
+++ b/transport/grpeer/peer.go
@@ -64,10 +64,15 @@
 	OnGather  func(ask grwire.GatherAsk) grwire.GatherAnswer
 }
 
-// Deliver takes a message.
-func (s *Service) Deliver(got grwire.PeerMessage, answer *grwire.PeerMessage) error {
-	*answer = s.OnMessage(got)
-	return nil
+// Deliver takes the bytes of a message and answers with those of another.
+func (s *Service) Deliver(got []byte, answer *[]byte) error {
+	message, err := grwire.DecodePeer(got)
+	if err != nil {
+		return err
+	}
+	reply := s.OnMessage(message)
+	*answer, err = grwire.EncodePeer(&reply)
+	return err
 }
 
 // Status describes the instance.
@@ -151,6 +156,8 @@
 	TLS    *tls.Config // nil for plain TCP
 	Report func(Event)
 
+	Traffic grdial.Traffic // of all connections; the zero value counts none
+
 	mu    sync.Mutex
 	links map[grid.Address]*link
 }
@@ -203,7 +210,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return rpc.NewClient(conn), nil
+	return rpc.NewClient(l.Traffic.Count(conn)), nil
 }
 
 // call makes one call and waits for its answer, for a second at most.
@@ -253,10 +260,8 @@
 		}
 		k.client = client
 	}
-	// After a timeout net/rpc may still write the answer, so it is copied only
-	// when it is whole.
-	var answer grwire.PeerMessage
-	err := k.links.call(ctx, k.client, k.address, "Deliver", grwire.PeerMessageTo(&o.Message), &answer)
+	message := grwire.PeerMessageTo(&o.Message)
+	answer, err := k.exchange(ctx, &message)
 	if err != nil {
 		k.drop()
 		return e
@@ -265,6 +270,20 @@
 	return e
 }
 
+// exchange sends a message and returns the answer. After a timeout net/rpc may
+// still write the answer, so it is read only when it is whole.
+func (k *link) exchange(ctx context.Context, message *grwire.PeerMessage) (grwire.PeerMessage, error) {
+	data, err := grwire.EncodePeer(message)
+	if err != nil {
+		return grwire.PeerMessage{}, err
+	}
+	var answer []byte
+	if err := k.links.call(ctx, k.client, k.address, "Deliver", data, &answer); err != nil {
+		return grwire.PeerMessage{}, err
+	}
+	return grwire.DecodePeer(answer)
+}
+
 func (k *link) drop() {
 	if k.client != nil {
 		k.client.Close()
--- a/transport/grupstream/conn.go
+++ b/transport/grupstream/conn.go
@@ -10,6 +10,7 @@
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
+	"geraniumrouter/transport/grdial"
 )
 
 // conn is one connection to a searcher. One goroutine writes, another reads:
@@ -18,6 +19,7 @@
 	pool    *Pool
 	place   Place
 	address grid.Address
+	traffic grdial.Traffic
 	jobs    *grring.Ring[job]
 	closing atomic.Bool
 	current atomic.Pointer[job] // without an answer; who takes it out reports its end
@@ -27,7 +29,7 @@
 }
 
 func (c *conn) run(ctx context.Context) error {
-	l, err := c.pool.connect(ctx, c.address, c.take)
+	l, err := c.pool.connect(ctx, c.address, c.traffic, c.take)
 	if err != nil {
 		c.pool.Report(Event{Kind: NotOpen, Place: c.place})
 		return nil
--- a/transport/grupstream/control.go
+++ b/transport/grupstream/control.go
@@ -9,6 +9,7 @@
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
+	"geraniumrouter/transport/grdial"
 )
 
 // loadInterval is the pause between two reads of a searcher's load.
@@ -66,7 +67,7 @@
 func (c *control) keep(ctx context.Context) error {
 	for ctx.Err() == nil {
 		answers := make(chan received, 1)
-		if l, err := c.pool.connect(ctx, c.address, func(got received) { answers <- got }); err == nil {
+		if l, err := c.pool.connect(ctx, c.address, grdial.Traffic{}, func(got received) { answers <- got }); err == nil {
 			c.serve(ctx, &caller{l, c.address, answers, c.pool.Silent})
 			l.Close()
 		}
--- a/transport/grupstream/link.go
+++ b/transport/grupstream/link.go
@@ -36,11 +36,12 @@
 }
 
 // connect opens a connection and starts to read it. take gets each answer.
-func (p *Pool) connect(ctx context.Context, address grid.Address, take func(received)) (*link, error) {
+func (p *Pool) connect(ctx context.Context, address grid.Address, traffic grdial.Traffic, take func(received)) (*link, error) {
 	c, err := grdial.New(dialTimeout).DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
+	c = traffic.Count(c)
 	l := &link{Conn: c, reader: bufio.NewReader(c), ended: make(chan struct{})}
 	p.Group.Start(func(context.Context) error {
 		l.read(take)
--- a/transport/grupstream/pool.go
+++ b/transport/grupstream/pool.go
@@ -3,7 +3,7 @@
 // of them as events. What is said on a connection is up to an Exchange.
 //
 //	pool := &grupstream.Pool{Group: group, Clock: clock, Report: events.Put}
-//	pool.Open(place, "127.0.0.1:8000")
+//	pool.Open(place, "127.0.0.1:8000", grdial.Traffic{})
 //	pool.Send(place, grupstream.Sending{Attempt: 1, Exchange: exchange, Remaining: 200})
 package grupstream
 
@@ -17,6 +17,7 @@
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
 	"geraniumrouter/state/grring"
+	"geraniumrouter/transport/grdial"
 	"geraniumrouter/transport/grgroup"
 )
 
@@ -110,13 +111,14 @@
 	sending Sending
 }
 
-// Open opens a connection to the address and reports Opened or NotOpen.
-func (p *Pool) Open(place Place, address grid.Address) {
+// Open opens a connection to the address, whose bytes count as traffic, and
+// reports Opened or NotOpen.
+func (p *Pool) Open(place Place, address grid.Address, traffic grdial.Traffic) {
 	p.mu.Lock()
 	if p.conns == nil {
 		p.conns = make(map[Place]*conn)
 	}
-	c := &conn{pool: p, place: place, address: address, jobs: grring.New[job](connRing)}
+	c := &conn{pool: p, place: place, address: address, traffic: traffic, jobs: grring.New[job](connRing)}
 	p.conns[place] = c
 	p.mu.Unlock()
 	p.Group.Start(c.run)
--- a/transport/grupstream/pool_test.go
+++ b/transport/grupstream/pool_test.go
@@ -10,6 +10,7 @@
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
+	"geraniumrouter/transport/grdial"
 	"geraniumrouter/transport/grgroup"
 )
 
@@ -75,7 +76,7 @@
 func TestSilentConnection(t *testing.T) {
 	r := newRig(t, 100)
 	place := Place{Conn: 1}
-	r.pool.Open(place, r.address)
+	r.pool.Open(place, r.address, grdial.Traffic{})
 	r.next(Opened)
 	r.send(place)
 	if e := r.next(Replied); e.Reply.Kind != grleaf.LostReply || e.Reply.KeepConn || e.Reply.Attempt != 7 {
@@ -87,7 +88,7 @@
 func TestClosedWhileIdle(t *testing.T) {
 	r := newRig(t, 5000)
 	place := Place{Conn: 1}
-	r.pool.Open(place, r.address)
+	r.pool.Open(place, r.address, grdial.Traffic{})
 	r.next(Opened)
 	(<-r.accepted).Close()
 	if e := r.next(Ended); e.Place != place {
@@ -108,6 +109,6 @@
 // TestRefusedConnection reports a connection that cannot be opened.
 func TestRefusedConnection(t *testing.T) {
 	r := newRig(t, 5000)
-	r.pool.Open(Place{Conn: 1}, "127.0.0.1:1")
+	r.pool.Open(Place{Conn: 1}, "127.0.0.1:1", grdial.Traffic{})
 	r.next(NotOpen)
 }
