Owners of a shard have most of its budget for extra sub-requests

Cause: the number of a bound was divided among all instances, although on 32 instances the 8 owners of a shard send nearly all that is sent to its searchers: three quarters of it could never be used, and second copies were denied. Owners and members that were lost of late still count, for they may only be out of reach from here. Ruled out: no share for the others; they go past silent owners.

--- a/coordination/grrouter/delegate.go
+++ b/coordination/grrouter/delegate.go
@@ -48,7 +48,7 @@
 func (r *Router) delegate(now grclock.Millis, q *query) {
 	d := q.routed
 	d.away = resized(d.away, len(q.leaves))
-	if len(r.peers) == 0 || len(q.leaves) < leastGroup {
+	if r.Straight || len(r.peers) == 0 || len(q.leaves) < leastGroup {
 		return
 	}
 	r.shunLate(now)
--- a/coordination/grrouter/owner.go
+++ b/coordination/grrouter/owner.go
@@ -92,6 +92,7 @@
 		}
 	}
 	r.setKeeps(now, out)
+	r.shareBudgets(now)
 }
 
 // setKeeps tells each leaf how many connections to open ahead of need.
--- a/coordination/grrouter/peer.go
+++ b/coordination/grrouter/peer.go
@@ -34,6 +34,7 @@
 		}
 	}
 	r.setKeeps(now, out)
+	r.shareBudgets(now)
 }
 
 // shunLate passes by peers that owe an answer.
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -100,14 +100,16 @@
 	Margin     grclock.Millis // time kept back from the deadline to send the answer
 	Seed       uint64
 	DropBodies bool // results carry no records; for benchmarks of decisions
+	Straight   bool // all shards are asked from here; for comparisons
 	Counters   Counters
 
 	RoutePolicy RoutePolicy // the zero value stands for DefaultRoutePolicy
 	Self        grid.InstanceID
 	Domain      grid.FailureDomain // of the instance
-	// ServiceBudget pays for the extra sub-requests of each service apart, in
-	// place of the budgets of the whole instance. The zero value turns it off.
-	ServiceBudget grstat.Budget
+	// Extra bounds the extra sub-requests to each service apart, over all
+	// instances, in place of the budgets of this instance. The zero value turns it
+	// off.
+	Extra grstat.Bound
 
 	collections map[grid.Collection]*collection
 	services    map[grid.Service]int32
@@ -127,6 +129,10 @@
 	splits       map[string]*split // by route, of the newest table
 	splitVersion grtable.Version
 	budgets      []*grstat.Budget // of the services, where each has its own
+	membersPeak  grstat.Peak
+	ownersPeak   grstat.Peak
+	memberShare  float64 // of the number of a bound, for each instance
+	ownerShare   float64 // the same for each owner of a shard
 	peers        []peerState
 	indexes      map[grid.Service]int  // block of each shard of the newest table
 	singles      map[grid.Service]bool // services of the newest table that are no shards
@@ -349,7 +355,7 @@
 		return index
 	}
 	index := int32(len(r.leaves))
-	hedges, retries := r.budgetsFor()
+	hedges, retries := r.budgetsFor(name)
 	leaf := &grleaf.Leaf{
 		Policy: r.Policy, Hedges: hedges, Retries: retries, Domain: r.Domain,
 		Random: grid.Random{State: r.Seed ^ grid.Hash(name)},
--- a/coordination/grstat/budget.go
+++ b/coordination/grstat/budget.go
@@ -62,12 +62,26 @@
 	savedPart = 0.6 // of the number, that can be saved up; time brings the rest
 )
 
-// PartOf returns the budget of one of so many instances.
-func (b Bound) PartOf(members int) Budget {
-	count := countUsed * b.Count / float64(max(members, 1))
+// Part returns the budget of an instance that has a share of the number.
+func (b Bound) Part(share float64) Budget {
+	count := countUsed * b.Count * share
 	budget := Budget{Share: shareUsed * b.Share, Reserve: savedPart * count}
 	if b.Window > 0 {
 		budget.PerMS = (1 - savedPart) * count / float64(b.Window)
 	}
 	return budget
 }
+
+// Peak is the greatest of the numbers seen of late. The zero value has seen none.
+type Peak struct {
+	value int
+	at    grclock.Millis
+}
+
+// Note takes a number and returns the greatest within the memory.
+func (p *Peak) Note(now grclock.Millis, n int, memory grclock.Millis) int {
+	if n >= p.value || now-p.at >= memory {
+		p.value, p.at = n, now
+	}
+	return p.value
+}
--- a/coordination/grstat/budget_test.go
+++ b/coordination/grstat/budget_test.go
@@ -10,7 +10,7 @@
 // TestBudgetOfTime pays for some extra work where hardly any ordinary work comes
 // by, and nothing right after a start.
 func TestBudgetOfTime(t *testing.T) {
-	budget := Bound{Share: 0.2, Count: 200, Window: 10 * grclock.Second}.PartOf(32)
+	budget := Bound{Share: 0.2, Count: 200, Window: 10 * grclock.Second}.Part(1.0 / 32)
 	if budget.Spend(1) {
 		t.Error("a budget that has just started paid")
 	}
@@ -29,14 +29,14 @@
 		members := 1 + random.Below(12)
 		budgets := make([]Budget, members)
 		for i := range budgets {
-			budgets[i] = bound.PartOf(members)
+			budgets[i] = bound.Part(1 / float64(members))
 		}
 		var spent, work []grclock.Millis
 		for now := grclock.Millis(1); now < 40*grclock.Second; now += grclock.Millis(1 + random.Below(60)) {
 			i := random.Below(members)
 			switch random.Below(40) {
 			case 0:
-				budgets[i] = bound.PartOf(members)
+				budgets[i] = bound.Part(1 / float64(members))
 			case 1, 2, 3, 4, 5:
 				budgets[i].Earn(1)
 				work = append(work, now)
@@ -56,6 +56,19 @@
 	}
 }
 
+// TestPeak remembers a greater number for a while.
+func TestPeak(t *testing.T) {
+	var peak Peak
+	for _, c := range []struct {
+		now     grclock.Millis
+		n, want int
+	}{{0, 3, 3}, {10, 5, 5}, {20, 2, 5}, {109, 2, 5}, {110, 2, 2}, {120, 4, 4}} {
+		if got := peak.Note(c.now, c.n, 100); got != c.want {
+			t.Errorf("%d at %d: %d, want %d", c.n, c.now, got, c.want)
+		}
+	}
+}
+
 func in(times []grclock.Millis, from, to grclock.Millis) int {
 	n := 0
 	for _, at := range times {
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -49,10 +49,11 @@
 	}
 	in.router = &grrouter.Router{
 		Seed: w.config.Seed + uint64(i), Self: in.id, Domain: in.domain, Policy: grleaf.RoutePolicy(),
-		ServiceBudget: grstat.Bound{Share: budgetShare, Count: budgetCount, Window: window}.PartOf(w.config.Instances),
+		Straight: w.config.NoLeaves,
+		Extra:    grstat.Bound{Share: budgetShare, Count: budgetCount, Window: window},
 	}
 	if w.config.Plant == NoBudget {
-		in.router.ServiceBudget = grstat.Budget{Share: 9, Reserve: 1e6}
+		in.router.Extra = grstat.Bound{Share: 9, Count: 1e6}
 	}
 	in.router.Init()
 	return in
@@ -61,15 +62,13 @@
 func (in *instance) start() {
 	w := in.world
 	in.router.SetTable(w.now, w.table, &in.out)
-	if !w.config.NoLeaves {
-		var peers []grrouter.Peer
-		for _, other := range w.instances {
-			if other != in {
-				peers = append(peers, grrouter.Peer{ID: other.id, Domain: other.domain})
-			}
+	var peers []grrouter.Peer
+	for _, other := range w.instances {
+		if other != in {
+			peers = append(peers, grrouter.Peer{ID: other.id, Domain: other.domain})
 		}
-		in.router.SetPeers(w.now, peers, &in.out)
 	}
+	in.router.SetPeers(w.now, peers, &in.out)
 	lists := make(map[grid.Service][]grleaf.Searcher)
 	for _, s := range w.searchers {
 		lists[s.service] = append(lists[s.service], grleaf.Searcher{ID: s.id, Domain: s.domain, Slots: w.config.Slots, Share: 2, OwnerShare: 3})
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -24,22 +24,20 @@
 // control is the duty that owns what the instance knows of the others, of the
 // searchers and of the preset. Nothing else touches its state machines.
 type control struct {
-	node      *Node
-	events    *grring.Ring[controlEvent]
-	state     *grcontrol.Control
-	out       grcontrol.Out
-	drain     grdrain.Drain
-	phase     atomic.Int32
-	phaseAt   grclock.Millis // start of the phase
-	watching  atomic.Bool
-	sent      map[grid.Service][]grleaf.Searcher // last list of searchers given to the router
-	members   int                                // that the budget is divided by
-	watched   map[grid.Address]bool              // control connections that are open
-	states    map[grid.InstanceID]grcontrol.State
-	lowering  int            // divisor that the router was asked to come down to
-	membersAt grclock.Millis // last time that there were so many
-	released  bool
-	stale     bool // the searchers changed since the router was told; it is told with the next tick
+	node     *Node
+	events   *grring.Ring[controlEvent]
+	state    *grcontrol.Control
+	out      grcontrol.Out
+	drain    grdrain.Drain
+	phase    atomic.Int32
+	phaseAt  grclock.Millis // start of the phase
+	watching atomic.Bool
+	sent     map[grid.Service][]grleaf.Searcher // last list of searchers given to the router
+	watched  map[grid.Address]bool              // control connections that are open
+	states   map[grid.InstanceID]grcontrol.State
+	lowering int // divisor that the router was asked to come down to
+	released bool
+	stale    bool // the searchers changed since the router was told; it is told with the next tick
 }
 
 // controlEvent is what the control duty is told; one field is set.
@@ -154,7 +152,6 @@
 	c.stepDrain(now, inFlight)
 	c.watching.Store(c.state.Watches())
 	c.carryOut()
-	c.reviewBudget(now)
 	if c.stale {
 		c.stale = false
 		c.refreshServices()
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -8,7 +8,6 @@
 	"geraniumrouter/coordination/grcontrol"
 	"geraniumrouter/coordination/grleaf"
 	"geraniumrouter/coordination/grrouter"
-	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/protocol/grwire"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grid"
@@ -32,7 +31,6 @@
 	lowerEvent
 	inspectEvent
 	routeEvent
-	budgetEvent
 	peersEvent
 	tableEvent
 	gatherEvent
@@ -52,7 +50,6 @@
 	active    grpreset.Active
 	divisor   int // that connections must come down to, for lowerEvent
 	inspect   func(r *grrouter.Router)
-	budget    grstat.Budget // for extra sub-requests to each service
 	members   []grcontrol.Member
 	table     *grtable.Table
 	gathered  grpeer.GatherEvent
@@ -152,8 +149,6 @@
 		l.gatherDone(now, &e.gathered)
 	case restEvent:
 		l.router.AskRest(now, l.numbers[e.number], e.want, &l.out)
-	case budgetEvent:
-		l.router.SetBudget(e.budget)
 	case cancelEvent:
 		l.router.Cancel(now, l.numbers[e.number], &l.out)
 	case upstreamEvent:
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -68,10 +68,6 @@
 	platformUp atomic.Bool
 }
 
-// startMembers is the number of instances that share the budget for extra work
-// until the members are known: so many that next to nothing is spent.
-const startMembers = 1 << 20
-
 // eventRing is the number of events that wait for the router's duty.
 const eventRing = 65536
 
@@ -168,7 +164,7 @@
 	router := &grrouter.Router{Seed: grid.Hash(n.Settings.Instance) ^ uint64(n.run), Self: n.Settings.Instance, Domain: n.Settings.FailureDomain}
 	if n.Adapter != nil {
 		router.Policy = grleaf.RoutePolicy()
-		router.ServiceBudget = n.Terms.Extra.PartOf(startMembers)
+		router.Extra = n.Terms.Extra
 	}
 	router.Init()
 	return router
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -42,10 +42,6 @@
 	Body  []byte
 }
 
-// budgetMemory is how long an instance that was lost still counts among those that
-// share the budget for extra work: it may only be out of reach from here.
-const budgetMemory = 30 * grclock.Second
-
 // Route answers a request on a route. When the caller goes before its end, a
 // request that may be repeated is cancelled.
 func (n *Node) Route(ctx context.Context, request *RouteRequest) grrouter.Result {
@@ -102,8 +98,8 @@
 	c.node.Log.Info("table in force", zap.Uint64("version", uint64(t.Version)), zap.Int("routes", len(t.Routes)))
 }
 
-// reviewRoutes tells callers to come once there is a table and a searcher to ask, and
-// divides the budget for extra work among the members.
+// reviewRoutes tells callers to come once there is a table and a searcher to ask,
+// and the router who can be delegated to.
 func (c *control) reviewRoutes(now grclock.Millis) {
 	if c.node.Adapter == nil {
 		return
@@ -114,23 +110,4 @@
 		c.node.Log.Info("ready")
 	}
 	c.node.post(event{kind: peersEvent, members: c.state.Entries(c.node.Settings.FailureDomain, 0)})
-	c.reviewBudget(now)
-}
-
-// reviewBudget divides the budget for extra work among the most members that
-// were known of late.
-func (c *control) reviewBudget(now grclock.Millis) {
-	if c.node.Adapter == nil {
-		return
-	}
-	members := len(c.state.Members())
-	if members < c.members && now-c.membersAt < budgetMemory {
-		return
-	}
-	same := members == c.members
-	c.members, c.membersAt = members, now
-	if same {
-		return
-	}
-	c.node.post(event{kind: budgetEvent, budget: c.node.Terms.Extra.PartOf(members)})
 }
