A budget counts time from when its terms are set

Change: setting the terms starts the clock. Test: TestFirstSpend. Ruled out: starting with a full budget, since restarts would multiply it.

--- a/coordination/grrouter/budget.go
+++ b/coordination/grrouter/budget.go
@@ -32,7 +32,7 @@
 	owners := r.ownersPeak.Note(now, r.countOwners(), budgetMemory)
 	r.memberShare, r.ownerShare = 1/float64(members), 1/float64(owners)
 	for i, b := range r.budgets {
-		b.SetTerms(r.budgetOf(r.names[i]))
+		b.SetTerms(now, r.budgetOf(r.names[i]))
 	}
 }
 
--- a/coordination/grstat/budget.go
+++ b/coordination/grstat/budget.go
@@ -15,8 +15,10 @@
 // Fill saves up as much as the budget can hold.
 func (b *Budget) Fill() { b.tokens = b.Reserve }
 
-// SetTerms changes what the budget earns and holds, and keeps what it saved.
-func (b *Budget) SetTerms(terms Budget) {
+// SetTerms changes what the budget earns and holds from now on, and keeps what it
+// saved.
+func (b *Budget) SetTerms(now grclock.Millis, terms Budget) {
+	b.pass(now)
 	b.Share, b.Reserve, b.PerMS = terms.Share, terms.Reserve, terms.PerMS
 	b.tokens = min(b.tokens, b.Reserve)
 }
--- a/coordination/grstat/budget_test.go
+++ b/coordination/grstat/budget_test.go
@@ -11,6 +11,7 @@
 // by, and nothing right after a start.
 func TestBudgetOfTime(t *testing.T) {
 	budget := Bound{Share: 0.2, Count: 200, Window: 10 * grclock.Second}.Part(1.0 / 32)
+	budget.SetTerms(1, budget)
 	if budget.Spend(1) {
 		t.Error("a budget that has just started paid")
 	}
@@ -78,3 +79,14 @@
 	}
 	return n
 }
+
+// TestFirstSpend pays for the first extra unit after a while without any: time
+// counts from when the terms were set.
+func TestFirstSpend(t *testing.T) {
+	terms := Bound{Share: 0.2, Count: 54, Window: 10 * grclock.Second}.Part(0.2)
+	var budget Budget
+	budget.SetTerms(1, terms)
+	if !budget.Spend(11 * grclock.Second) {
+		t.Error("nothing is paid 11 s after the start")
+	}
+}
