--- a/coordination/grleaf/conn.go
+++ b/coordination/grleaf/conn.go
@@ -134,14 +134,19 @@
 // is taken as the searcher's time-out for idle connections.
 const stableAfter = grclock.Second
 
-// noteIdleEnd notes that the searcher closed an idle connection. One that was
-// idle for too long was not needed; it is not opened again until it is.
+// leastWarm is the number of connections to a searcher that are opened again when
+// it closes them: with one only, the second of two requests at the same time would
+// go to another failure domain.
+const leastWarm = 2
+
+// noteIdleEnd notes that the searcher closed an idle connection. Those beyond a few
+// were not needed; they are not opened again until they are.
 func (l *Leaf) noteIdleEnd(now grclock.Millis, r *replica) {
 	if l.Keep == nil || now-r.conns.opened < stableAfter {
 		l.noteBroken(now, r)
 		return
 	}
-	r.conns.want = min(r.conns.want, max(r.conns.total-1, 1))
+	r.conns.want = min(r.conns.want, max(r.conns.total-1, leastWarm))
 }
 
 // noteBroken pauses the opening of connections to a searcher that broke one or
--- a/coordination/grleaf/leaf_test.go
+++ b/coordination/grleaf/leaf_test.go
@@ -5,6 +5,7 @@
 
 	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grid"
 )
 
 // TestUnreachable ends sub-requests at once when no searcher can be reached, so
@@ -132,3 +133,46 @@
 		t.Errorf("sent %+v, want query 3", sent)
 	}
 }
+
+// TestLeastWarm keeps two connections to a searcher that closes idle ones, so that
+// two requests at the same time stay in their failure domain.
+func TestLeastWarm(t *testing.T) {
+	var out Out
+	leaf := &Leaf{Policy: RoutePolicy(), Domain: "d1"}
+	leaf.Init()
+	leaf.SetKeep(0, Kept{Near: 3, Far: 1, Owner: true}, &out)
+	leaf.SetSearchers(0, []Searcher{
+		{ID: "near", Domain: "d1", Slots: 2, Share: 4}, {ID: "far", Domain: "d2", Slots: 2, Share: 4},
+	}, &out)
+	standing := make(map[ConnID]bool) // to the near searcher
+	for now := grclock.Millis(0); now < 20*grclock.Second; now += 100 {
+		actions := out.Actions
+		out = Out{}
+		for _, a := range actions {
+			near := leaf.SearcherAt(a.Searcher).ID == "near"
+			switch {
+			case a.Kind == OpenConn:
+				leaf.ConnOpened(now, a.Searcher, a.Conn, &out)
+				standing[a.Conn] = near
+			case a.Kind == CloseConn:
+				delete(standing, a.Conn)
+			}
+		}
+		leaf.Tick(now, &out)
+		for conn, near := range standing {
+			if near && now%(4*grclock.Second) == 0 && now > 0 {
+				leaf.ConnLost(now, 0, conn, &out)
+				break
+			}
+		}
+	}
+	out = Out{}
+	for query := range 2 {
+		leaf.Submit(20*grclock.Second, Sub{Key: SubKey{Query: grid.QueryID(query + 1)}, Deadline: 30 * grclock.Second}, &out)
+	}
+	for _, a := range out.Actions {
+		if a.Kind == Send && leaf.SearcherAt(a.Searcher).ID != "near" {
+			t.Errorf("%+v went to another domain", a)
+		}
+	}
+}
