Searchers that are late whenever they are tried are tried seldom

Cause: what a leaf knew of a searcher's latency had a half-life of 400 ms, so that one that was slow for seconds was tried again twice a second by each owner, at the price of a second copy and a late part. Change: the half-life doubles, up to three times, with each time in a row that the searcher was late again after it was tried anew; an answer in time ends that.

--- a/coordination/grleaf/replica.go
+++ b/coordination/grleaf/replica.go
@@ -17,6 +17,8 @@
 	window    float64
 	latency   grstat.Mean
 	touchedAt grclock.Millis // last change of latency
+	slowRuns  int            // times in a row that it was late, each after it was tried again
+	slowAt    grclock.Millis // the last of them
 	load      Load
 	loadAt    grclock.Millis
 	knownAt   grclock.Millis // start of slow start
@@ -33,7 +35,8 @@
 // Weights and spans of the choice of a searcher.
 const (
 	latencyWeight = 0.3                       // of the newest sample in the mean
-	forgetAfter   = 400 * grclock.Millisecond // half-life of a searcher's latency while unused
+	forgetAfter   = 400 * grclock.Millisecond // half-life of a searcher's latency while unused, after one pause of it
+	maxSlowSteps  = 3                         // doublings of that half-life for one that was late again when it was tried
 	loadFresh     = 50 * grclock.Millisecond  // age after which a load report counts half
 	lateRatio     = 3                         // expected latency ÷ age of an attempt that is late
 	slowFloor     = 0.1                       // weight of a searcher that has just started
@@ -221,12 +224,18 @@
 	typical := max(l.typical.Value(1), 0.5)
 	own := r.latency.Value(typical)
 	if own > typical {
-		age := float64(now-r.touchedAt) / float64(forgetAfter)
+		age := float64(now-r.touchedAt) / float64(r.forgetAfter())
 		own = typical + (own-typical)*math.Exp2(-age)
 	}
 	return max(own, 0.5)
 }
 
+// forgetAfter returns the half-life of the latency: one that is late whenever it is
+// tried is slow and does not just pause.
+func (r *replica) forgetAfter() grclock.Millis {
+	return forgetAfter << min(max(r.slowRuns-1, 0), maxSlowSteps)
+}
+
 // othersLoad is the work of other instances at the searcher, as it last said,
 // fading with age.
 func (l *Leaf) othersLoad(now grclock.Millis, r *replica) float64 {
@@ -247,13 +256,20 @@
 }
 
 func (l *Leaf) noteLatency(now grclock.Millis, r *replica, span grclock.Millis) {
+	if float64(span) < lateRatio*l.typical.Value(1) {
+		r.slowRuns = 0
+	}
 	r.latency.Add(float64(max(span, 1)), latencyWeight)
 	r.touchedAt = now
 }
 
 // noteSlow lifts a searcher's latency to what an attempt of that age without an
-// answer makes likely.
+// answer makes likely. Attempts that were out together are late by one cause.
 func (l *Leaf) noteSlow(now grclock.Millis, r *replica, age grclock.Millis) {
+	if now-age >= r.slowAt {
+		r.slowRuns++
+		r.slowAt = now
+	}
 	own := l.expectedLatency(now, r)
 	r.latency = grstat.Mean{}
 	r.latency.Add(max(own, lateRatio*float64(age)), 1)
