Ready as soon as a table and a searcher are known

Cause: an instance that started told callers to come with the next tick of its control duty, up to 0.1 s after it could serve; with only a table it counted services without searchers as something to ask. Ruled out: a faster tick for all time. Change: until it is ready, changes reach the router at once; ready needs a searcher. Test: TestReadyAtOnce.

--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -152,11 +152,17 @@
 	c.stepDrain(now, inFlight)
 	c.watching.Store(c.state.Watches())
 	c.carryOut()
-	if c.stale {
-		c.stale = false
-		c.refreshServices()
-		c.reviewRoutes(now)
+	c.refreshStale(now)
+}
+
+// refreshStale tells the router of the searchers, if they changed.
+func (c *control) refreshStale(now grclock.Millis) {
+	if !c.stale {
+		return
 	}
+	c.stale = false
+	c.refreshServices()
+	c.reviewRoutes(now)
 }
 
 func (c *control) handle(now grclock.Millis, e *controlEvent) {
@@ -267,10 +273,11 @@
 	}
 	if changed {
 		c.logStates()
-	}
-	if changed {
 		c.reviewRoutes(c.node.Clock.Now())
 	}
+	if !c.node.ready.Load() {
+		c.refreshStale(c.node.Clock.Now()) // Callers wait: not with the next tick.
+	}
 }
 
 // logStates writes a line for each member whose state changed.
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -104,10 +104,20 @@
 	if c.node.Adapter == nil {
 		return
 	}
-	ready := c.state.Table() != nil && len(c.sent) > 0
+	ready := c.state.Table() != nil && c.knowsSearcher()
 	if ready && !c.node.ready.Swap(true) {
 		c.state.Open(now, c.node.Settings.Callers, &c.out)
 		c.node.Log.Info("ready")
 	}
 	c.node.post(event{kind: peersEvent, members: c.state.Entries(c.node.Settings.FailureDomain, 0)})
 }
+
+// knowsSearcher reports whether the router was told of a searcher.
+func (c *control) knowsSearcher() bool {
+	for _, list := range c.sent {
+		if len(list) > 0 {
+			return true
+		}
+	}
+	return false
+}
