A unit of the budget is kept for sub-requests that failed; whole groups write no line

Cause: (1) a sub-request whose searcher failed could find the budget used up by second copies of others that still had a searcher at work; (2) a line was written for each group that another instance asked for, also whole ones in time, and pushed out lines of failures. Change: second copies leave one unit of a shared budget; groups that are whole and in time are counted only. Test: TestRetryIsKept.

--- a/coordination/grleaf/hedge.go
+++ b/coordination/grleaf/hedge.go
@@ -109,7 +109,7 @@
 		a.hedged = true
 		return
 	}
-	if !l.Hedges.Spend(now) {
+	if !l.Hedges.SpendAbove(now, l.keptForRetries()) {
 		l.Counters.HedgesDenied++
 		l.wakeAt(now + hedgeRecheck)
 		return
@@ -119,6 +119,17 @@
 	l.enqueue(a.sub)
 }
 
+// retriesKept is the units of a shared budget that second copies leave: a
+// sub-request that failed has no other copy on the way.
+const retriesKept = 1
+
+func (l *Leaf) keptForRetries() float64 {
+	if l.Hedges == l.Retries {
+		return retriesKept
+	}
+	return 0
+}
+
 // abandonAfter returns how old an attempt gets before it is cancelled in favour
 // of its copy.
 func (l *Leaf) abandonAfter(threshold grclock.Millis) grclock.Millis {
--- a/coordination/grleaf/slow_test.go
+++ b/coordination/grleaf/slow_test.go
@@ -85,3 +85,35 @@
 		t.Errorf("the near searcher was asked %d times before it paused, %d times in the second after", before, soon)
 	}
 }
+
+// TestRetryIsKept leaves a unit of the budget for a sub-request that fails, however
+// many others are late.
+func TestRetryIsKept(t *testing.T) {
+	var out Out
+	budget := &grstat.Budget{Reserve: 3}
+	budget.Fill()
+	leaf := &Leaf{Policy: RoutePolicy(), Hedges: budget, Retries: budget}
+	leaf.Init()
+	leaf.SetKeep(0, Kept{Near: 9, Far: 9}, &out)
+	leaf.SetSearchers(0, []Searcher{{ID: "a", Slots: 9, Share: 9}, {ID: "b", Slots: 9, Share: 9}}, &out)
+	actions := out.Actions
+	out = Out{}
+	for _, a := range actions {
+		leaf.ConnOpened(0, a.Searcher, a.Conn, &out)
+	}
+	for query := range 5 {
+		leaf.Submit(1, Sub{Key: SubKey{Query: grid.QueryID(query + 1)}, Deadline: 5000, HedgeAfter: 30, MaxAttempts: 2}, &out)
+	}
+	leaf.Tick(100, &out)
+	out = Out{}
+	leaf.Submit(100, Sub{Key: SubKey{Query: 9}, Deadline: 5000, HedgeAfter: 3000, MaxAttempts: 2}, &out)
+	first := out.Actions[0]
+	out = Out{}
+	leaf.Reply(110, Reply{Attempt: first.Attempt, Kind: LostReply}, &out)
+	for _, a := range out.Actions {
+		if a.Kind == Send && a.Key.Query == 9 {
+			return
+		}
+	}
+	t.Errorf("a sub-request that failed was not sent again: %+v, %+v", out.Actions, out.Done)
+}
--- a/coordination/grstat/budget.go
+++ b/coordination/grstat/budget.go
@@ -27,9 +27,12 @@
 func (b *Budget) Earn(part float64) { b.tokens = min(b.tokens+part*b.Share, b.Reserve) }
 
 // Spend takes one extra unit, and reports false when there is none.
-func (b *Budget) Spend(now grclock.Millis) bool {
+func (b *Budget) Spend(now grclock.Millis) bool { return b.SpendAbove(now, 0) }
+
+// SpendAbove takes one extra unit if as many as kept are left then.
+func (b *Budget) SpendAbove(now grclock.Millis, kept float64) bool {
 	b.pass(now)
-	if b.tokens < 1 {
+	if b.tokens < 1+kept {
 		return false
 	}
 	b.tokens--
--- a/transport/grnode/explain.go
+++ b/transport/grnode/explain.go
@@ -20,7 +20,8 @@
 	}
 	late := result.Took > request.Route.Objective
 	l.measureEnd(of, request, result, late)
-	if result.Outcome != grrouter.Complete || late {
+	whole := result.Outcome == grrouter.Complete || request.Group && len(result.Parts) == result.Asked
+	if !whole || late {
 		l.logEnd(of+" ended", request, result)
 	}
 }
