Presets and shard maps travel with numbers for names too

Cause: a change of preset took 9.1 KB on the way to all instead of 2.9, since CBOR wrote the names of the fields that JSON has. Change: the same tags as on the other messages of peers.

--- a/protocol/grwire/platform.go
+++ b/protocol/grwire/platform.go
@@ -65,17 +65,17 @@
 
 // MapWire is the object of a shard map.
 type MapWire struct {
-	Collection string      `json:"collection"`
-	Index      uint64      `json:"index"`
-	Map        uint64      `json:"map"`
-	Shards     []ShardWire `json:"shards"`
+	Collection string      `json:"collection" cbor:"1,keyasint,omitempty"`
+	Index      uint64      `json:"index" cbor:"2,keyasint,omitempty"`
+	Map        uint64      `json:"map" cbor:"3,keyasint,omitempty"`
+	Shards     []ShardWire `json:"shards" cbor:"4,keyasint,omitempty"`
 }
 
 // ShardWire is one shard of a map.
 type ShardWire struct {
-	From    uint64 `json:"from"`
-	To      uint64 `json:"to"`
-	Service string `json:"service"`
+	From    uint64 `json:"from" cbor:"1,keyasint,omitempty"`
+	To      uint64 `json:"to" cbor:"2,keyasint,omitempty"`
+	Service string `json:"service" cbor:"3,keyasint,omitempty"`
 }
 
 // MapFrom maps a shard map of the wire to the domain and checks it.
--- a/protocol/grwire/preset.go
+++ b/protocol/grwire/preset.go
@@ -11,24 +11,24 @@
 
 // TermsWire is the terms of one collection.
 type TermsWire struct {
-	DeadlineMS  int64   `json:"deadline_ms"`
-	MinCoverage float64 `json:"min_coverage"`
-	Partial     string  `json:"partial"` // "allow" or "refuse"
-	Weight      int     `json:"weight"`
+	DeadlineMS  int64   `json:"deadline_ms" cbor:"1,keyasint,omitempty"`
+	MinCoverage float64 `json:"min_coverage" cbor:"2,keyasint,omitempty"`
+	Partial     string  `json:"partial" cbor:"3,keyasint,omitempty"` // "allow" or "refuse"
+	Weight      int     `json:"weight" cbor:"4,keyasint,omitempty"`
 }
 
 // PresetWire is one revision of a preset.
 type PresetWire struct {
-	Name            string               `json:"name"`
-	Revision        uint64               `json:"revision"`
-	HedgeBudget     float64              `json:"hedge_budget"`
-	RetryBudget     float64              `json:"retry_budget"`
-	MaxQueries      int                  `json:"max_queries"`
-	MaxQueue        int                  `json:"max_queue"`
-	Default         TermsWire            `json:"default"`
-	Collections     map[string]TermsWire `json:"collections,omitempty"`
-	Maintenance     []string             `json:"services_in_maintenance,omitempty"`
-	SearchersAtRest []string             `json:"searchers_in_maintenance,omitempty"`
+	Name            string               `json:"name" cbor:"1,keyasint,omitempty"`
+	Revision        uint64               `json:"revision" cbor:"2,keyasint,omitempty"`
+	HedgeBudget     float64              `json:"hedge_budget" cbor:"3,keyasint,omitempty"`
+	RetryBudget     float64              `json:"retry_budget" cbor:"4,keyasint,omitempty"`
+	MaxQueries      int                  `json:"max_queries" cbor:"5,keyasint,omitempty"`
+	MaxQueue        int                  `json:"max_queue" cbor:"6,keyasint,omitempty"`
+	Default         TermsWire            `json:"default" cbor:"7,keyasint,omitempty"`
+	Collections     map[string]TermsWire `json:"collections,omitempty" cbor:"8,keyasint,omitempty"`
+	Maintenance     []string             `json:"services_in_maintenance,omitempty" cbor:"9,keyasint,omitempty"`
+	SearchersAtRest []string             `json:"searchers_in_maintenance,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Lines returns the preset as a line for each value, with its section.
@@ -61,10 +61,10 @@
 
 // ActiveWire is an accepted switch.
 type ActiveWire struct {
-	Generation uint64     `json:"generation"`
-	Operation  string     `json:"operation_id"`
-	SwitchedAt int64      `json:"switched_at_ms"`
-	Preset     PresetWire `json:"preset"`
+	Generation uint64     `json:"generation" cbor:"1,keyasint,omitempty"`
+	Operation  string     `json:"operation_id" cbor:"2,keyasint,omitempty"`
+	SwitchedAt int64      `json:"switched_at_ms" cbor:"3,keyasint,omitempty"`
+	Preset     PresetWire `json:"preset" cbor:"4,keyasint,omitempty"`
 }
 
 // Words of TermsWire.Partial.
