--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -296,7 +296,7 @@
 	delete(r.queries, q.id)
 	result := Result{ID: q.id, Generation: q.generation}
 	if q.routed != nil {
-		result.Absent, result.Took = r.absences(now, q), now-q.startedAt
+		result.Absent, result.Took, result.Spent = r.absences(now, q), now-q.startedAt, q.routed.spent
 	}
 	r.abandonOpen(now, q, out)
 	if q.routed != nil {
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -73,6 +73,7 @@
 	Asked      int              // of requests on routes: shards that make up a whole answer
 	Absent     []Absence        // of requests on routes: some of the shards without a part, for logs
 	Took       grclock.Millis
+	Spent      grclock.Millis // of the time aimed at, before the request was sent, as it was estimated
 	RetryAfter grclock.Millis // after NotRun: when to come back
 	More       bool           // of a group: the rest may be asked for, and another result follows
 }
--- a/transport/grnode/explain.go
+++ b/transport/grnode/explain.go
@@ -61,7 +61,7 @@
 		zap.String("request_id", string(request.ID)), zap.String("route", request.Route.Name),
 		zap.Uint64("table_version", uint64(request.Table.Version)), zap.Stringer("outcome", result.Outcome),
 		zap.String("code", string(result.Code)), zap.Int("parts", len(result.Parts)), zap.Int("asked", result.Asked),
-		zap.Objects("missing", missing), zap.Int64("took_ms", int64(result.Took)),
+		zap.Objects("missing", missing), zap.Int64("took_ms", int64(result.Took)), zap.Int64("spent_ms", int64(result.Spent)),
 		zap.Int64("objective_ms", int64(request.Route.Objective)), zap.Bool("more", result.More),
 		zap.Int64("retry_after_ms", int64(result.RetryAfter)))
 }
