Second copies are not sent sooner for requests that are late already

Cause: for a request whose caller had spent the whole time aimed at, a repeated try, the age for a second copy fell to its least, 5 ms: double work in trouble. Change: at least half of the objective counts. Test: TestSpent. Ruled out: the full objective, since what can still be in time gains by sooner copies.

--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -205,7 +205,8 @@
 		if q.routed.partial {
 			s.Earns, s.HoldAfter = grleaf.EarnsPart, q.routed.cutAt
 		}
-		s.HedgeAfter = max(r.RoutePolicy.HedgeLeast, grclock.Millis(share*float64(route.Objective-q.routed.spent)))
+		left := max(route.Objective-q.routed.spent, route.Objective/2) // What is late already is no reason to pay sooner.
+		s.HedgeAfter = max(r.RoutePolicy.HedgeLeast, grclock.Millis(share*float64(left)))
 	}
 	return s
 }
