An instance that is late itself does not take its peers for silent

An instance five times slower than usual looked at its timer 50 ms late, took the owners it had asked for silent though their answers waited to be read, and asked the searchers straight. Ruled out: the larger budget (the same path stood before), frozen owners (none then). Change: where the timer comes over 3 ms late, peers are given the same grace again. Tests: TestBehind, 4 sends before, none after; TestSilentPeer.

--- a/coordination/grrouter/delegate.go
+++ b/coordination/grrouter/delegate.go
@@ -31,6 +31,7 @@
 	shunSteps  = 4                         // doublings
 	restWait   = 150 * grclock.Millisecond // in which the rest must be asked for
 	peerGrace  = 15 * grclock.Millisecond  // after an answer in part is due, until a peer counts as silent
+	ownLag     = 3 * grclock.Millisecond   // by which timers are late on an instance that keeps up
 )
 
 // group is the shards of a query that a peer asks.
--- a/coordination/grrouter/group.go
+++ b/coordination/grrouter/group.go
@@ -167,7 +167,7 @@
 // which may wake.
 func (r *Router) passSilent(now grclock.Millis, q *query, out *Out) {
 	d := q.routed
-	if now < d.cutAt+peerGrace || d.passed {
+	if now < d.cutAt+peerGrace || d.passed || r.behind(now, q) {
 		return
 	}
 	d.passed = true
@@ -190,6 +190,20 @@
 	q.submitting = false
 }
 
+// behind reports whether this instance itself came too late to tell that peers are
+// silent: their answers may wait to be read, and are given as long again.
+func (r *Router) behind(now grclock.Millis, q *query) bool {
+	d := q.routed
+	if now-(d.cutAt+peerGrace) <= ownLag {
+		return false
+	}
+	if d.graceUntil == 0 {
+		d.graceUntil = now + peerGrace
+		r.deadlines.Push(timer{d.graceUntil, q.id})
+	}
+	return now < d.graceUntil
+}
+
 // releaseGroups tells peers that nobody waits for their groups any more, so that
 // they free the searchers.
 func (r *Router) releaseGroups(q *query, out *Out) {
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -77,6 +77,8 @@
 	away   []bool  // shards that are not asked from here
 	passed bool    // silent peers were passed by
 
+	graceUntil grclock.Millis // until then peers are not silent, since this instance was late; 0: it was not
+
 	partial   bool           // this is a group of another instance
 	told      int            // parts that were handed out already
 	want      int            // parts that were asked for of the rest
