Read stated rate limits; log and count the attempts sent despite them

No decision changes: the limit that a searcher states is read in the adapter and recorded by the dispatcher, so that logs and metrics tell the hypotheses on the incident apart: log lines 'rate limit changed' and 'rate limit in force', metrics searcher_rate_limit_per_s, _age_ms and searcher_limited_attempts_total.

Cause sought: upstreams get more than the limit that they state.

--- a/coordination/grdispatch/dispatch.go
+++ b/coordination/grdispatch/dispatch.go
@@ -60,7 +60,7 @@
 		}
 		d.queue.Pop()
 		s.queued, s.hedgeQueued = false, false
-		d.countSend(s)
+		d.searchers[r].rateLimit.countLimited(d.countSend(s))
 		d.send(now, index, r, out)
 	}
 	for _, index := range d.deferred {
@@ -83,18 +83,34 @@
 	return true
 }
 
-func (d *Dispatcher) countSend(s *pendingRequest) {
+// attemptKind tells why an attempt is sent.
+type attemptKind uint8
+
+// Kinds of attempts.
+const (
+	firstAttempt   attemptKind = iota
+	hedgedAttempt              // while another attempt is in flight
+	resentAttempt              // no attempt before it started
+	retriedAttempt             // an attempt before it may have started
+)
+
+// countSend counts the next attempt of the sub-request and returns its kind.
+func (d *Dispatcher) countSend(s *pendingRequest) attemptKind {
+	first := !s.dispatched
+	s.dispatched = true
 	switch {
 	case s.active > 0:
 		d.Counters.Hedges++
-	case !s.dispatched:
+		return hedgedAttempt
+	case first:
 		d.Counters.FirstAttempts++
+		return firstAttempt
 	case s.sent == 0:
 		d.Counters.Resent++
-	default:
-		d.Counters.Retries++
+		return resentAttempt
 	}
-	s.dispatched = true
+	d.Counters.Retries++
+	return retriedAttempt
 }
 
 // wakeAfterPauses schedules a wake-up for the end of each searcher's backoff or
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -15,6 +15,7 @@
 package grdispatch
 
 import (
+	"geraniumrouter/coordination/grratelimit"
 	"geraniumrouter/coordination/grstat"
 	"geraniumrouter/state/granswer"
 	"geraniumrouter/state/grclock"
@@ -92,6 +93,7 @@
 	Attempt      grident.AttemptID
 	Kind         ReplyKind
 	Load         Load
+	RateLimit    grratelimit.Statement // what the searcher said about its rate limit
 	Records      []grsnapshot.Record
 	Answer       *granswer.Answer // in place of Records, for requests forwarded unchanged
 	ReusableConn bool             // the connection can be reused
@@ -144,12 +146,15 @@
 // Output collects the actions and outcomes of one or more calls. Callers reuse it to
 // avoid allocations.
 type Output struct {
-	Actions []Action
-	Done    []Done
+	Actions          []Action
+	Done             []Done
+	RateLimitChanges []RateLimitChange
 }
 
-// Reset empties both lists and keeps their memory.
-func (o *Output) Reset() { o.Actions, o.Done = o.Actions[:0], o.Done[:0] }
+// Reset empties the lists and keeps their memory.
+func (o *Output) Reset() {
+	o.Actions, o.Done, o.RateLimitChanges = o.Actions[:0], o.Done[:0], o.RateLimitChanges[:0]
+}
 
 // Dispatcher dispatches the sub-requests of one service. Set the exported fields and
 // call Init before any other method.
--- a/coordination/grdispatch/reply.go
+++ b/coordination/grdispatch/reply.go
@@ -33,6 +33,7 @@
 		r.conns.failures = 0
 	}
 	d.recordLoad(now, r, reply.Load)
+	d.recordRateLimit(now, r, reply.RateLimit, out)
 	span := now - a.sentAt
 	if reply.Kind == OK || a.cancelled {
 		d.latency.Add(span)
--- a/coordination/grdispatch/searcher.go
+++ b/coordination/grdispatch/searcher.go
@@ -31,6 +31,7 @@
 	backoffUntil        grclock.Millis // end of the backoff after it shed or lost a connection
 	backoffStep         int            // doublings of the backoff
 	conns               connPool
+	rateLimit           searcherRateLimit
 }
 
 // Parameters of the load balancing.
@@ -59,6 +60,7 @@
 		r := d.stateFor(now, s)
 		if s.Incarnation != r.Incarnation {
 			r.draining, r.slowStartAt = false, now
+			r.rateLimit = searcherRateLimit{}
 		}
 		r.Searcher = s
 		r.present = true
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -83,15 +83,17 @@
 
 // Output collects the output of a call. Callers reuse it to avoid allocations.
 type Output struct {
-	Actions     []grdispatch.Action
-	Results     []Result
-	Delegations []Delegation
-	dispatcher  grdispatch.Output
+	Actions          []grdispatch.Action
+	Results          []Result
+	Delegations      []Delegation
+	RateLimitChanges []grdispatch.RateLimitChange
+	dispatcher       grdispatch.Output
 }
 
 // Reset empties the lists and keeps their memory.
 func (o *Output) Reset() {
 	o.Actions, o.Results, o.Delegations = o.Actions[:0], o.Results[:0], o.Delegations[:0]
+	o.RateLimitChanges = o.RateLimitChanges[:0]
 }
 
 // Router runs the queries of one instance. Set the exported fields before Init.
@@ -325,6 +327,10 @@
 		out.dispatcher.Actions[i].Service = dispatcher
 	}
 	out.Actions = append(out.Actions, out.dispatcher.Actions...)
+	for _, change := range out.dispatcher.RateLimitChanges {
+		change.Service = dispatcher
+		out.RateLimitChanges = append(out.RateLimitChanges, change)
+	}
 	done := out.dispatcher.Done
 	out.dispatcher.Reset()
 	r.scheduleWake(dispatcher)
--- a/transport/grmetric/metric.go
+++ b/transport/grmetric/metric.go
@@ -55,6 +55,11 @@
 	metrics.GetOrRegisterGauge(Name(base, labels...), registry).Update(value)
 }
 
+// SetFraction sets a gauge with a value that need not be whole.
+func SetFraction(registry metrics.Registry, value float64, base string, labels ...string) {
+	metrics.GetOrRegisterGaugeFloat64(Name(base, labels...), registry).Update(value)
+}
+
 // Observe records a latency, in milliseconds.
 func Observe(registry metrics.Registry, base string, latency grclock.Millis, labels ...string) {
 	metric := registry.GetOrRegister(Name(base, labels...), newHistogram)
@@ -76,6 +81,8 @@
 			lines = append(lines, formatLine(name, float64(m.Count())))
 		case metrics.Gauge:
 			lines = append(lines, formatLine(name, float64(m.Value())))
+		case metrics.GaugeFloat64:
+			lines = append(lines, formatLine(name, m.Value()))
 		case metrics.Histogram:
 			lines = append(lines, formatSummary(name, m.Snapshot())...)
 		}
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -27,7 +27,8 @@
 	targetDivisor  int                                     // to report on, as in controlLoop; 0: none
 	nextProbe      grclock.Millis                          // when idle connections are probed next
 	metrics        routerMetrics
-	labelledRoutes map[string]bool // routes with a metric label of their own
+	labelledRoutes map[string]bool                                 // routes with a metric label of their own
+	loggedAttempts map[grident.SearcherID]grdispatch.AttemptCounts // to searchers with a rate limit, as last logged
 }
 
 // unsent is an attempt whose query ended before the attempt was sent.
@@ -74,6 +75,7 @@
 			l.probeIdle()
 		}
 		l.metrics.update(l.router)
+		l.logRateLimitUse(now)
 	}
 }
 
@@ -123,6 +125,7 @@
 		for i := range l.out.Results {
 			l.deliver(&l.out.Results[i])
 		}
+		l.logRateLimitChanges()
 		l.out.Reset()
 		if len(l.unsent) == 0 {
 			return
--- a/transport/grnode/monitor.go
+++ b/transport/grnode/monitor.go
@@ -24,7 +24,9 @@
 	n.collectInstance(state)
 	n.inspect(func(r *grrouter.Router) {
 		for i := range r.ServiceCount() {
-			collectService(state, r.ServiceName(int32(i)), r.Dispatcher(int32(i)))
+			name, dispatcher := r.ServiceName(int32(i)), r.Dispatcher(int32(i))
+			collectService(state, name, dispatcher)
+			collectRateLimits(state, string(name), dispatcher.RateLimitUses(n.Clock.Now()))
 		}
 	})
 	return grmetric.Write(w, state)
