Reproduce: instances together exceed a stated rate limit (fails)

Cause: no instance uses the limit that a searcher states in its answers. Searchers of the simulation state rate limits now, and the report checks the attempts at each in every window and over the whole time, over all instances.

--- /dev/null
+++ b/standin/grstandroute/ratelimit.go
@@ -0,0 +1,73 @@
+package grstandroute
+
+import (
+	"math"
+
+	"geraniumrouter/coordination/grratelimit"
+	"geraniumrouter/state/grclock"
+)
+
+// Bound on the requests that arrive at a searcher with a rate limit, from all instances
+// together.
+const (
+	rateLimitWindow = 4 * grclock.Second
+	rateLimitFactor = 1.5                // of the limit
+	rateLimitExtra  = 5                  // requests
+	rateLimitSettle = 4 * grclock.Second // time from a statement until the bound holds
+)
+
+// setRateLimits gives the searchers their rate limits.
+func (sim *simulation) setRateLimits() {
+	for i, s := range sim.searchers {
+		shard, number := i/sim.config.Searchers, i%sim.config.Searchers
+		for _, l := range sim.config.RateLimits {
+			if shard < l.Shards && number < l.Searchers {
+				s.rateLimits = append(s.rateLimits, l)
+			}
+		}
+	}
+}
+
+// statement returns what the searcher's answers say now about its rate limit.
+func (s *searcher) statement() grratelimit.Statement {
+	for _, l := range s.rateLimits {
+		if s.sim.now >= l.From && s.sim.now < l.Until && !math.IsInf(l.PerSecond, 1) {
+			return grratelimit.Statement{Kind: grratelimit.Limited, Rate: grratelimit.Rate(l.PerSecond)}
+		}
+	}
+	return grratelimit.Statement{Kind: grratelimit.Unlimited}
+}
+
+// checkRateLimits checks the attempts that reached each searcher while it stated a rate
+// limit: in every window, and over the whole time, without rateLimitFactor.
+func (sim *simulation) checkRateLimits() {
+	for _, s := range sim.searchers {
+		var times []grclock.Millis
+		for _, a := range s.attempts {
+			times = append(times, a.at)
+		}
+		for _, l := range s.rateLimits {
+			sim.checkRateLimit(s, l, times)
+		}
+	}
+}
+
+func (sim *simulation) checkRateLimit(s *searcher, l RateLimit, times []grclock.Millis) {
+	from, until := l.From+rateLimitSettle, min(l.Until, sim.config.Duration)
+	perSecond := func(span grclock.Millis) float64 { return l.PerSecond * float64(span) / float64(grclock.Second) }
+	total := countWithin(times, from, until-from)
+	sim.report.Limited += total
+	if allowed := perSecond(until-from) + rateLimitExtra; float64(total) > allowed {
+		sim.reportViolation("%s: %d attempts from %d to %d ms, %.1f allowed at %.1f a second", s.id, total, from, until, allowed, l.PerSecond)
+	}
+	for _, start := range times {
+		if start < from || start+rateLimitWindow > until {
+			continue
+		}
+		n := countWithin(times, start, rateLimitWindow)
+		if allowed := rateLimitFactor*perSecond(rateLimitWindow) + rateLimitExtra; float64(n) > allowed {
+			sim.reportViolation("%s: %d attempts in the window from %d ms, %.1f allowed at %.1f a second", s.id, n, start, allowed, l.PerSecond)
+			return
+		}
+	}
+}
--- a/standin/grstandroute/searcher.go
+++ b/standin/grstandroute/searcher.go
@@ -19,6 +19,7 @@
 	queue       []*job
 	pausedUntil grclock.Millis
 	attempts    []attempt
+	rateLimits  []RateLimit
 }
 
 // job is an attempt at a searcher.
@@ -110,6 +111,7 @@
 
 func (s *searcher) reply(j *job, reply grdispatch.Reply) {
 	reply.Attempt = j.attempt
+	reply.RateLimit = s.statement()
 	if s.sim.config.Bug == LostReplyAsNotSent && reply.Kind == grdispatch.LostReply {
 		reply.Kind = grdispatch.Refused
 	}
--- a/standin/grstandroute/simulation.go
+++ b/standin/grstandroute/simulation.go
@@ -1,6 +1,6 @@
 // Package grstandroute simulates requests on routes in virtual time: routers of
 // several instances, which delegate groups of shards to each other, and
-// searchers with faults. It measures the answers that callers receive and checks
+// searchers with faults and rate limits. It measures the answers that callers receive and checks
 // invariants. A run depends on its Config only.
 //
 //	report := grstandroute.Run(grstandroute.Config{Seed: 1, SearcherPause: 100})
@@ -56,9 +56,19 @@
 	PeerDelay        grclock.Millis // maximum extra delay of one in peerDelayOneIn messages between instances
 	ReplyTime        grclock.Millis // processing time of an instance for each reply of a searcher
 	ReplyTimeUnknown bool           // routers do not take ReplyTime into account
+	RateLimits       []RateLimit    // rate limits that searchers state
 	Bug              Bug
 }
 
+// RateLimit is a limit on requests that some searchers state in their answers for a while.
+// Limits of the same searchers must be given in the order of their times.
+type RateLimit struct {
+	From, Until grclock.Millis
+	PerSecond   float64 // infinite: no limit any more
+	Shards      int     // the searchers of the first so many shards
+	Searchers   int     // the first so many searchers of each of these shards
+}
+
 // Report holds the results of a run.
 type Report struct {
 	// Requests: all, answered within and after the objective, failed, not run.
@@ -71,6 +81,7 @@
 	// Attempts that reached searchers: all, and those beyond the first for each shard of a request.
 	Attempts, ExtraAttempts int
 	CrossDomain             int      // attempts that came from another failure domain
+	Limited                 int      // attempts that reached searchers while their rate limits were in force
 	Violations              []string // the first few violated invariants
 }
 
@@ -181,6 +192,7 @@
 			sim.searchers = append(sim.searchers, s)
 		}
 	}
+	sim.setRateLimits()
 	sim.table = &grroutes.Table{Version: 1, Routes: []grroutes.Route{
 		{Name: "all", Host: "h", PathPrefix: "/all/", Idempotent: true, FanOut: true, MaxAttempts: 2, MinSuccessShare: 0.89,
 			Targets: []grroutes.Target{{Weight: 1, Services: all}}, Timeout: 15 * c.Objective, LatencyObjective: c.Objective},
@@ -254,6 +266,7 @@
 		sim.checkRequest(req)
 	}
 	sim.checkExtraAttempts()
+	sim.checkRateLimits()
 	slices.Sort(sim.latencies)
 	if n := len(sim.latencies); n > 0 {
 		sim.report.P50, sim.report.P99 = sim.latencies[n/2], sim.latencies[n*99/100]
