--- a/coordination/grdispatch/attempt_history.go
+++ b/coordination/grdispatch/attempt_history.go
@@ -14,6 +14,7 @@
 	InFlightAge  grclock.Millis     // age of the oldest attempt in flight in ms; 0: none in flight
 	AttemptEnded bool               // an attempt ended without an answer, with outcome LastKind
 	LastKind     ReplyKind
+	RateLimited  bool // a rate limit kept it from a searcher
 }
 
 // AttemptHistory returns the attempt history of a sub-request that has not ended.
@@ -26,7 +27,7 @@
 }
 
 func (d *Dispatcher) historyOf(now grclock.Millis, s *pendingRequest) AttemptHistory {
-	h := AttemptHistory{Sent: int(s.sent), Waiting: s.queued, Searcher: s.lastSearcher, AttemptEnded: s.attemptEnded, LastKind: s.lastKind}
+	h := AttemptHistory{Sent: int(s.sent), Waiting: s.queued, Searcher: s.lastSearcher, AttemptEnded: s.attemptEnded, LastKind: s.lastKind, RateLimited: s.heldBack}
 	for _, id := range s.attempts[:s.sent] {
 		a := d.findAttempt(id)
 		if a == nil || now-a.sentAt < h.InFlightAge {
--- a/coordination/grdispatch/conn.go
+++ b/coordination/grdispatch/conn.go
@@ -297,6 +297,9 @@
 		if !d.allows(s, int32(i)) || d.hasAttempt(s, int32(i)) {
 			continue
 		}
+		if !r.rateLimit.Permits(now) {
+			continue
+		}
 		if score := d.score(now, r, i); score < bestScore {
 			best, bestScore = int32(i), score
 		}
--- a/coordination/grdispatch/counters.go
+++ b/coordination/grdispatch/counters.go
@@ -9,6 +9,7 @@
 	HedgesDenied, RetriesDenied, Cancelled    uint64
 	ConnsOpened, ConnsClosed                  uint64
 	AbandonedConnsClosed                      uint64
+	RateLimited                               uint64 // held back from a searcher by its rate limit
 }
 
 // Add adds the counters of another dispatcher to c.
@@ -30,4 +31,5 @@
 	c.ConnsOpened += o.ConnsOpened
 	c.ConnsClosed += o.ConnsClosed
 	c.AbandonedConnsClosed += o.AbandonedConnsClosed
+	c.RateLimited += o.RateLimited
 }
--- a/coordination/grdispatch/dispatch.go
+++ b/coordination/grdispatch/dispatch.go
@@ -38,8 +38,8 @@
 		if d.demoteLate(now, index) {
 			continue
 		}
-		r := d.choose(now, s)
-		if r < 0 && s.active == 0 && d.unreachable(now, s) {
+		r := d.choose(now, s, out)
+		if r < 0 && s.active == 0 && (d.unreachable(now, s) || d.unservable(now, s, 0)) {
 			d.finish(now, index, d.doneKind(s, NotStarted), out)
 			continue
 		}
@@ -60,7 +60,7 @@
 		}
 		d.queue.Pop()
 		s.queued, s.hedgeQueued = false, false
-		d.searchers[r].rateLimit.countLimited(d.countSend(s))
+		d.useRateLimit(now, s, r, d.countSend(s), out)
 		d.send(now, index, r, out)
 	}
 	for _, index := range d.deferred {
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -42,6 +42,7 @@
 	MaxAttempts      int            // attempts, including the first; 0: by the policy
 	Credit           BudgetCredit   // credit to the budgets for hedges and retries
 	HoldFrom         grclock.Millis // from this time on nothing is sent until EndHold; 0: no hold
+	UsefulUntil      grclock.Millis // until then an answer is of full use, and none is awaited if rate limits permit no attempt before; 0 or past: the deadline
 
 	OnlySearcher     grident.SearcherTag // the only searcher it may be sent to; 0: any
 	ReservedSearcher grident.SearcherTag // searcher that another instance may send it to; 0: none
@@ -149,11 +150,13 @@
 	Actions          []Action
 	Done             []Done
 	RateLimitChanges []RateLimitChange
+	RateLimitAsks    []RateLimitAsk
 }
 
 // Reset empties the lists and keeps their memory.
 func (o *Output) Reset() {
-	o.Actions, o.Done, o.RateLimitChanges = o.Actions[:0], o.Done[:0], o.RateLimitChanges[:0]
+	o.Actions, o.Done = o.Actions[:0], o.Done[:0]
+	o.RateLimitChanges, o.RateLimitAsks = o.RateLimitChanges[:0], o.RateLimitAsks[:0]
 }
 
 // Dispatcher dispatches the sub-requests of one service. Set the exported fields and
@@ -197,6 +200,8 @@
 	dispatched    bool             // an attempt was sent before
 	pastObjective bool             // its latency objective passed while it waited
 	triedMask     uint64           // bit set of searchers that received an attempt, by index modulo 64
+	wantedMask    uint64           // bit set of searchers in whose demand for units it was counted, likewise
+	heldBack      bool             // a rate limit kept it from a searcher
 	snapshotGone  bool             // a searcher reported the snapshot as gone
 	mayHaveRun    bool             // a searcher may have started an attempt
 	lastFailure   *granswer.Answer // error response of the last searcher that failed
@@ -259,6 +264,7 @@
 		d.finish(now, d.latestQueued(), NotStarted, out)
 	}
 	d.dispatch(now, out)
+	d.endIfUnservable(now, s.Key, out)
 }
 
 // Abandon ends a sub-request that its query no longer needs, without a Done. It
@@ -297,13 +303,14 @@
 func (d *Dispatcher) InFlight() int { return len(d.byKey) }
 
 // ExpectedWait estimates the time in ms to an answer for a sub-request submitted now,
-// from the recent rate of answers.
-func (d *Dispatcher) ExpectedWait() grclock.Millis {
-	wait := d.typicalLatency.Value(0)
+// from the recent rate of answers and the rate limits of the searchers.
+func (d *Dispatcher) ExpectedWait(now grclock.Millis) grclock.Millis {
+	latency := d.typicalLatency.Value(0)
+	queued := 0.0
 	if n := d.queue.Len(); n > 0 {
-		wait += float64(n) * d.answerInterval.Value(0)
+		queued = float64(n) * d.answerInterval.Value(0)
 	}
-	return grclock.Millis(wait)
+	return grclock.Millis(latency + max(queued, float64(d.RateLimitWait(now, d.queue.Len()))))
 }
 
 func (d *Dispatcher) wakeAt(t grclock.Millis) {
--- a/coordination/grdispatch/ratelimit.go
+++ b/coordination/grdispatch/ratelimit.go
@@ -6,61 +6,243 @@
 	"geraniumrouter/state/grident"
 )
 
-// RateLimitChange reports that a searcher states another rate limit than before.
+// A searcher that states a rate limit gets an attempt only with a unit of the limit, which
+// this instance has to request (package grratelimit). Without one, the sub-request goes to
+// another searcher, waits for a unit, or ends if none can come in time.
+
+// RateLimitChange reports that another rate limit of a searcher is known than before.
 type RateLimitChange struct {
 	Service  int32 // set by the router
 	Searcher grident.SearcherID
 	Old, New grratelimit.Statement
 }
 
-// AttemptCounts counts the attempts sent to one searcher, by kind.
-type AttemptCounts struct{ First, Hedged, Retried, Resent uint64 }
+// RateLimitAsk requests units of a searcher's rate limit from the instance that allocates
+// it.
+type RateLimitAsk struct {
+	Service     int32 // set by the router
+	Searcher    grident.SearcherID
+	Domain      grident.FailureDomain // of the searcher
+	Incarnation grident.Incarnation   // of the searcher
+	AskedAt     grclock.Millis
+	Request     grratelimit.Request
+}
+
+// RateLimitGrant answers a RateLimitAsk. Without an answer Failed is set.
+type RateLimitGrant struct {
+	Searcher    grident.SearcherID
+	Incarnation grident.Incarnation
+	AskedAt     grclock.Millis
+	Failed      bool
+	Grant       grratelimit.Grant
+}
+
+// AttemptCounts counts the attempts sent to one searcher, by kind, and the sub-requests
+// that would have been sent to it without its rate limit.
+type AttemptCounts struct{ First, Hedged, Retried, Resent, HeldBack uint64 }
 
 // RateLimitUse describes the use of a searcher that states a rate limit.
 type RateLimitUse struct {
 	Searcher  grident.SearcherID
 	Statement grratelimit.Statement
-	Age       grclock.Millis // since the statement was last received
-	Attempts  AttemptCounts  // sent by this instance since the searcher first stated a limit
+	Age       grclock.Millis // since the statement was received by some instance
+	PerSecond float64        // units that were granted to this instance recently, per second
+	Units     int            // of these, not used yet
+	Attempts  AttemptCounts  // of this instance since the searcher first stated a limit
 }
 
-// searcherRateLimit is the rate limit that a searcher states.
+// searcherRateLimit is this instance's part of the rate limit that a searcher states.
 type searcherRateLimit struct {
-	statement grratelimit.Statement
-	statedAt  grclock.Millis
-	attempts  AttemptCounts
+	grratelimit.Allowance
+	attempts AttemptCounts
 }
 
 // recordRateLimit records what a searcher said about its rate limit.
 func (d *Dispatcher) recordRateLimit(now grclock.Millis, r *searcherState, s grratelimit.Statement, out *Output) {
-	if s.Kind == grratelimit.Unstated {
-		return
-	}
-	limit := &r.rateLimit
-	limit.statedAt = now
-	if s == limit.statement {
-		return
+	old := r.rateLimit.Record().Statement()
+	if r.rateLimit.State(now, s) {
+		reportRateLimit(r, old, out)
 	}
-	if limit.statement.Kind == grratelimit.Limited || s.Kind == grratelimit.Limited {
-		out.RateLimitChanges = append(out.RateLimitChanges, RateLimitChange{Searcher: r.ID, Old: limit.statement, New: s})
+}
+
+// reportRateLimit reports a changed statement, unless no limit was and is in force.
+func reportRateLimit(r *searcherState, old grratelimit.Statement, out *Output) {
+	if old.Kind == grratelimit.Limited || r.rateLimit.Limited() {
+		out.RateLimitChanges = append(out.RateLimitChanges, RateLimitChange{Searcher: r.ID, Old: old, New: r.rateLimit.Record().Statement()})
 	}
-	limit.statement = s
 }
 
-// countLimited counts an attempt sent to a searcher that states a rate limit.
-func (l *searcherRateLimit) countLimited(kind attemptKind) {
-	if l.statement.Kind != grratelimit.Limited {
+// useRateLimit takes a unit for an attempt of the sub-request and counts the attempt.
+func (d *Dispatcher) useRateLimit(now grclock.Millis, s *pendingRequest, searcher int32, kind attemptKind, out *Output) {
+	limit := &d.searchers[searcher].rateLimit
+	if !limit.Limited() {
 		return
 	}
+	limit.attempts.count(kind)
+	d.wantUnit(now, s, searcher)
+	limit.Use(now)
+	d.askForUnits(now, searcher, false, out)
+}
+
+func (c *AttemptCounts) count(kind attemptKind) {
 	switch kind {
 	case firstAttempt:
-		l.attempts.First++
+		c.First++
 	case hedgedAttempt:
-		l.attempts.Hedged++
+		c.Hedged++
 	case resentAttempt:
-		l.attempts.Resent++
+		c.Resent++
 	case retriedAttempt:
-		l.attempts.Retried++
+		c.Retried++
+	}
+}
+
+// heldBackChoice finds the searcher to request units of, among those that only a rate limit
+// keeps from taking a sub-request: the best one, but those that were just denied units last.
+type heldBackChoice struct {
+	best  int32
+	rank  float64
+	score float64 // lowest score of all these searchers
+}
+
+func (h *heldBackChoice) consider(searcher int32, score float64, denied bool) {
+	h.score = min(h.score, score)
+	rank := score
+	if denied {
+		rank += deniedPenalty
+	}
+	if rank < h.rank {
+		h.best, h.rank = searcher, rank
+	}
+}
+
+// deniedPenalty exceeds every score, that of a searcher that was tried included.
+const deniedPenalty = 2 * triedPenalty
+
+// holdBack records that the searcher would get the sub-request if there were a unit of its
+// rate limit, and requests units. waiting tells that no other searcher can take it.
+func (d *Dispatcher) holdBack(now grclock.Millis, s *pendingRequest, searcher int32, waiting bool, out *Output) {
+	if d.wantUnit(now, s, searcher) {
+		d.searchers[searcher].rateLimit.attempts.HeldBack++
+		d.Counters.RateLimited++
+	}
+	s.heldBack = true
+	d.askForUnits(now, searcher, waiting, out)
+}
+
+// wantUnit counts the sub-request in the demand for the searcher, once. It reports whether
+// it was not counted before.
+func (d *Dispatcher) wantUnit(now grclock.Millis, s *pendingRequest, searcher int32) bool {
+	bit := uint64(1) << (uint(searcher) % 64)
+	if s.wantedMask&bit != 0 {
+		return false
+	}
+	s.wantedMask |= bit
+	d.searchers[searcher].rateLimit.Want(now)
+	return true
+}
+
+func (d *Dispatcher) askForUnits(now grclock.Millis, searcher int32, waiting bool, out *Output) {
+	r := &d.searchers[searcher]
+	request, ok := r.rateLimit.Ask(now, waiting)
+	if !ok {
+		if waiting {
+			d.wakeAt(r.rateLimit.AskAt())
+		}
+		return
+	}
+	out.RateLimitAsks = append(out.RateLimitAsks, RateLimitAsk{
+		Searcher: r.ID, Domain: r.Domain, Incarnation: r.Incarnation, AskedAt: now, Request: request,
+	})
+	d.wakeAt(r.rateLimit.AskAt())
+}
+
+// HandleRateLimitGrant processes the answer to a RateLimitAsk.
+func (d *Dispatcher) HandleRateLimitGrant(now grclock.Millis, g *RateLimitGrant, out *Output) {
+	r := d.searcherRun(g.Searcher, g.Incarnation)
+	if r == nil {
+		return
+	}
+	if g.Failed {
+		r.rateLimit.Failed(now)
+		return
+	}
+	old := r.rateLimit.Record().Statement()
+	if r.rateLimit.Granted(now, g.AskedAt, g.Grant) {
+		reportRateLimit(r, old, out)
+	}
+	d.dispatch(now, out)
+}
+
+// RateLimitOf returns the newest statement of a searcher about its rate limit and its age.
+func (d *Dispatcher) RateLimitOf(now grclock.Millis, id grident.SearcherID, run grident.Incarnation) (grratelimit.Statement, grclock.Millis) {
+	r := d.searcherRun(id, run)
+	if r == nil {
+		return grratelimit.Statement{}, 0
+	}
+	record := r.rateLimit.Record()
+	return record.Statement(), record.Age(now)
+}
+
+func (d *Dispatcher) searcherRun(id grident.SearcherID, run grident.Incarnation) *searcherState {
+	for i := range d.searchers {
+		if r := &d.searchers[i]; r.ID == id && r.Incarnation == run {
+			return r
+		}
+	}
+	return nil
+}
+
+// RateLimitWait returns the expected time until a sub-request that is sent after the given
+// number of others can be sent within the rate limits of the searchers; 0 if some searcher
+// has no limit.
+func (d *Dispatcher) RateLimitWait(now grclock.Millis, ahead int) grclock.Millis {
+	return d.rateLimitWait(now, ahead, func(int32) bool { return true })
+}
+
+// rateLimitWait is RateLimitWait over the searchers that a sub-request may be sent to.
+func (d *Dispatcher) rateLimitWait(now grclock.Millis, ahead int, allowed func(searcher int32) bool) grclock.Millis {
+	limited := 0
+	for i := range d.searchers {
+		if r := &d.searchers[i]; r.usable() && allowed(int32(i)) {
+			if !r.rateLimit.Limited() {
+				return 0
+			}
+			limited++
+		}
+	}
+	if limited == 0 {
+		return 0
+	}
+	shortest := grclock.Never
+	for i := range d.searchers {
+		if r := &d.searchers[i]; r.usable() && allowed(int32(i)) {
+			shortest = min(shortest, r.rateLimit.Wait(now, ahead/limited))
+		}
+	}
+	return shortest
+}
+
+// unservable reports whether no unit of a rate limit is expected in time for the waiting
+// sub-request, which has the given number of others ahead of it.
+func (d *Dispatcher) unservable(now grclock.Millis, s *pendingRequest, ahead int) bool {
+	if s.active > 0 {
+		return false
+	}
+	usefulUntil := s.Deadline
+	if s.UsefulUntil > now {
+		usefulUntil = s.UsefulUntil
+	}
+	wait := d.rateLimitWait(now, ahead, func(searcher int32) bool { return d.allows(s, searcher) })
+	return now+wait > usefulUntil
+}
+
+// endIfUnservable ends a sub-request that has just joined the queue if no unit of a rate
+// limit is expected in time.
+func (d *Dispatcher) endIfUnservable(now grclock.Millis, key SubRequestKey, out *Output) {
+	index, ok := d.byKey[key]
+	if ok && d.subs[index].queued && d.unservable(now, &d.subs[index], d.queue.Len()-1) {
+		d.finish(now, index, d.doneKind(&d.subs[index], NotStarted), out)
 	}
 }
 
@@ -69,8 +251,11 @@
 	var list []RateLimitUse
 	for i := range d.searchers {
 		r := &d.searchers[i]
-		if limit := &r.rateLimit; r.present && limit.statement.Kind == grratelimit.Limited {
-			list = append(list, RateLimitUse{r.ID, limit.statement, now - limit.statedAt, limit.attempts})
+		if limit := &r.rateLimit; r.present && limit.Limited() {
+			list = append(list, RateLimitUse{
+				Searcher: r.ID, Statement: limit.Record().Statement(), Age: limit.Record().Age(now),
+				PerSecond: limit.GrantedPerSecond(now), Units: limit.Units(now), Attempts: limit.attempts,
+			})
 		}
 	}
 	return list
--- a/coordination/grdispatch/reservation.go
+++ b/coordination/grdispatch/reservation.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		score := d.expectedWait(now, r)
-		if r.Domain == owner || r.ejectedUntil > now {
+		if r.Domain == owner || r.ejectedUntil > now || r.rateLimit.Limited() {
 			score += triedPenalty
 		}
 		if score < bestScore {
--- a/coordination/grdispatch/searcher.go
+++ b/coordination/grdispatch/searcher.go
@@ -119,9 +119,11 @@
 
 // choose returns the index of the searcher for the next attempt of s, or -1 when none
 // has capacity. Searchers that already received an attempt are ranked last. Those with
-// an attempt in flight are skipped unless every searcher has one.
-func (d *Dispatcher) choose(now grclock.Millis, s *pendingRequest) int32 {
+// an attempt in flight are skipped unless every searcher has one, and those whose rate
+// limit permits no attempt until units of it are granted.
+func (d *Dispatcher) choose(now grclock.Millis, s *pendingRequest, out *Output) int32 {
 	best, bestScore := int32(-1), math.Inf(1)
+	held := heldBackChoice{best: -1, rank: math.Inf(1), score: math.Inf(1)}
 	for i := range d.searchers {
 		r := &d.searchers[i]
 		if !d.hasRoom(now, r) || !d.allows(s, int32(i)) || d.hasAttempt(s, int32(i)) && !d.allHaveAttempt(s) {
@@ -134,10 +136,16 @@
 		if s.triedMask&(1<<(uint(i)%64)) != 0 {
 			score += triedPenalty
 		}
-		if score < bestScore {
+		switch {
+		case !r.rateLimit.Permits(now):
+			held.consider(int32(i), score, r.rateLimit.Denied(now))
+		case score < bestScore:
 			best, bestScore = int32(i), score
 		}
 	}
+	if held.score < bestScore {
+		d.holdBack(now, s, held.best, best < 0, out)
+	}
 	return best
 }
 
--- /dev/null
+++ b/coordination/grratelimit/allowance.go
@@ -0,0 +1,192 @@
+package grratelimit
+
+import (
+	"math"
+
+	"geraniumrouter/coordination/grstat"
+	"geraniumrouter/state/grclock"
+)
+
+// LeaseTime is the time after the request for units in which they may be used.
+const LeaseTime = grclock.Second
+
+// Timing of the requests for units.
+const (
+	batchTime      = 200 * grclock.Millisecond // units are requested for the demand of this time
+	demandHalfLife = 300 * grclock.Millisecond // of the estimated demand
+	minAskInterval = 50 * grclock.Millisecond  // between an answer with too few units and the next request
+	maxAskInterval = grclock.Second            // the limit may have changed by then
+	answerTimeout  = 500 * grclock.Millisecond // from a request without an answer to the next one
+)
+
+// Request asks an allocator for units.
+type Request struct {
+	Statement Statement // newest known to the requester
+	Age       grclock.Millis
+	Wanted    int
+}
+
+// Grant answers a Request.
+type Grant struct {
+	Units     int
+	NextUnit  grclock.Millis // expected time until the requester can get a further unit
+	Statement Statement      // newest known to the allocator
+	Age       grclock.Millis
+	Refused   bool // the instance does not allocate the limit of this upstream
+}
+
+// Allowance is the part of an upstream's rate limit that one instance may use. The zero
+// value permits everything, as no limit is known.
+type Allowance struct {
+	record     Record
+	leases     []lease // oldest first
+	demand     grstat.EventRate
+	granted    grstat.EventRate
+	asked      bool // a request awaits its answer
+	askedAt    grclock.Millis
+	askAgainAt grclock.Millis
+	nextUnitAt grclock.Millis // expected time of the next unit
+}
+
+// lease is a number of units that were granted together.
+type lease struct {
+	units int
+	until grclock.Millis
+}
+
+// State records a statement that the upstream just made. It reports whether it differs
+// from the one before.
+func (a *Allowance) State(now grclock.Millis, s Statement) (changed bool) { return a.update(now, s, 0) }
+
+// update records a statement. Units of a higher limit are dropped.
+func (a *Allowance) update(now grclock.Millis, s Statement, age grclock.Millis) (changed bool) {
+	old := a.record.Statement()
+	changed = a.record.Update(now, s, age)
+	if changed && (old.Kind != Limited || s.Kind != Limited || s.Rate < old.Rate) {
+		a.leases = nil
+	}
+	return changed
+}
+
+// Record returns the newest statement.
+func (a *Allowance) Record() *Record { return &a.record }
+
+// Limited reports whether a limit is in force.
+func (a *Allowance) Limited() bool { return a.record.Limited() }
+
+// Units returns the units that are left.
+func (a *Allowance) Units(now grclock.Millis) int {
+	n := 0
+	for _, l := range a.leases {
+		if l.until > now {
+			n += l.units
+		}
+	}
+	return n
+}
+
+// Permits reports whether a request may be sent.
+func (a *Allowance) Permits(now grclock.Millis) bool { return !a.Limited() || a.Units(now) > 0 }
+
+// Use takes a unit for a request that is sent. Permits must have allowed it.
+func (a *Allowance) Use(now grclock.Millis) {
+	if !a.Limited() {
+		return
+	}
+	for len(a.leases) > 0 && (a.leases[0].until <= now || a.leases[0].units == 0) {
+		a.leases = a.leases[1:]
+	}
+	if len(a.leases) > 0 {
+		a.leases[0].units--
+	}
+}
+
+// Want records that one more request is for this upstream, whether or not a unit is left
+// for it.
+func (a *Allowance) Want(now grclock.Millis) {
+	a.demand.HalfLife = demandHalfLife
+	a.demand.Add(now, 1)
+}
+
+// Ask returns a request for units, if one is due. With waiting set, a request that only
+// this upstream can take waits for a unit; otherwise units are requested in advance, if
+// the demand suggests that they will be used.
+func (a *Allowance) Ask(now grclock.Millis, waiting bool) (Request, bool) {
+	if !a.Limited() || now < a.AskAt() {
+		return Request{}, false
+	}
+	a.demand.HalfLife = demandHalfLife
+	demand := Rate(a.demand.PerSecond(now))
+	wanted := max(1, int(math.Ceil(demand.per(batchTime))))
+	if !waiting && (2*a.Units(now) > wanted || demand.per(LeaseTime) < 1) {
+		return Request{}, false
+	}
+	a.asked, a.askedAt = true, now
+	return Request{Statement: a.record.Statement(), Age: a.record.Age(now), Wanted: wanted}, true
+}
+
+// AskAt returns the time from which on units may be requested.
+func (a *Allowance) AskAt() grclock.Millis {
+	if a.asked {
+		return a.askedAt + answerTimeout
+	}
+	return a.askAgainAt
+}
+
+// Denied reports whether no units can be requested at present, since too few were granted
+// to the last request.
+func (a *Allowance) Denied(now grclock.Millis) bool { return !a.asked && now < a.askAgainAt }
+
+// Granted records the answer to the request that was made at askedAt. It reports whether
+// the statement of the upstream changed by it.
+func (a *Allowance) Granted(now, askedAt grclock.Millis, g Grant) (changed bool) {
+	if g.Refused {
+		a.Failed(now)
+		return false
+	}
+	a.asked = false
+	// The age does not include the way to the allocator and back, so the statement may be
+	// older than one received here meanwhile.
+	changed = a.update(askedAt, g.Statement, g.Age)
+	if g.Units > 0 {
+		a.leases = append(a.leases, lease{g.Units, askedAt + LeaseTime})
+		a.granted.HalfLife = LeaseTime
+		a.granted.Add(now, g.Units)
+	}
+	a.askAgainAt, a.nextUnitAt = now, now+g.NextUnit
+	if g.NextUnit > 0 {
+		a.askAgainAt = now + min(max(g.NextUnit, minAskInterval), maxAskInterval)
+	}
+	return changed
+}
+
+// Failed records that the request for units got no answer, or that the instance that got
+// it does not allocate the limit.
+func (a *Allowance) Failed(now grclock.Millis) {
+	a.asked = false
+	a.askAgainAt = now + answerTimeout
+	a.nextUnitAt = a.askAgainAt
+}
+
+// Wait returns the expected time until a unit is left for a request that is sent after
+// the given number of others, or 0 if that is not known.
+func (a *Allowance) Wait(now grclock.Millis, ahead int) grclock.Millis {
+	left := a.Units(now)
+	if !a.Limited() || ahead < left {
+		return 0
+	}
+	next := max(a.nextUnitAt-now, 0)
+	perSecond := a.GrantedPerSecond(now)
+	if perSecond == 0 {
+		return next
+	}
+	return next + grclock.Millis(Rate(perSecond).interval()*float64(ahead-left))
+}
+
+// GrantedPerSecond returns the recent rate of units that were granted.
+func (a *Allowance) GrantedPerSecond(now grclock.Millis) float64 {
+	if a.granted.HalfLife == 0 {
+		return 0
+	}
+	return a.granted.PerSecond(now)
+}
--- a/coordination/grrouter/owner.go
+++ b/coordination/grrouter/owner.go
@@ -1,6 +1,8 @@
 package grrouter
 
 import (
+	"maps"
+
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
@@ -38,7 +40,7 @@
 	var best [OwnersPerDomain]grident.InstanceID
 	var rank [OwnersPerDomain]uint64
 	consider := func(id grident.InstanceID) {
-		score := grident.Mix(grident.Hash(id)^uint64(block)) | 1
+		score := ownerRank(id, uint64(block))
 		for i := range best {
 			if score > rank[i] {
 				best[i], id = id, best[i]
@@ -61,6 +63,12 @@
 	return best[:n:n]
 }
 
+// ownerRank is the rank of an instance in rendezvous hashing; the highest is chosen. It is
+// never 0.
+func ownerRank(id grident.InstanceID, seed uint64) uint64 {
+	return grident.Mix(grident.Hash(id)^seed) | 1
+}
+
 // owns reports whether this instance owns the block in its domain.
 func (r *Router) owns(block int) bool {
 	for _, id := range r.owners(r.Domain, block) {
@@ -74,6 +82,7 @@
 // SetTable sets the table that defines which services are shards, and updates the warm
 // connections and the budgets of the dispatchers accordingly.
 func (r *Router) SetTable(now grclock.Millis, t *grroutes.Table, out *Output) {
+	oldBlocks := r.shardBlocks
 	r.shardBlocks = make(map[grident.Service]int)
 	for i := range t.Routes {
 		if !t.Routes[i].FanOut {
@@ -92,6 +101,8 @@
 			r.singleServices[t.Services[i].Name] = true
 		}
 	}
+	r.membersChanged = r.membersChanged || !maps.Equal(oldBlocks, r.shardBlocks)
+	r.updateAllocators(now)
 	r.setWarmConns(now, out)
 	r.divideBudgets(now)
 }
--- a/coordination/grrouter/peer.go
+++ b/coordination/grrouter/peer.go
@@ -23,6 +23,7 @@
 
 // SetPeers replaces the list of peers.
 func (r *Router) SetPeers(now grclock.Millis, list []Peer, out *Output) {
+	r.membersChanged = r.membersChanged || r.peersDiffer(list)
 	old := r.peers
 	r.peers = make([]peerState, len(list))
 	for i, p := range list {
@@ -34,6 +35,7 @@
 			}
 		}
 	}
+	r.updateAllocators(now)
 	r.setWarmConns(now, out)
 	r.divideBudgets(now)
 }
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -130,7 +130,7 @@
 func (r *Router) admit(now grclock.Millis, q *query) grerror.Code {
 	wait := grclock.Millis(0)
 	for _, dispatcher := range q.collection.dispatchers {
-		wait = max(wait, r.dispatchers[dispatcher].ExpectedWait())
+		wait = max(wait, r.dispatchers[dispatcher].ExpectedWait(now))
 	}
 	return r.admission.Admit(now, q.collectionName, q.policy.Weight, wait, q.deadline-now)
 }
@@ -209,6 +209,9 @@
 			s.ReservedSearcher = q.route.reservedSearcher(key.Shard)
 		}
 		remaining := max(route.LatencyObjective-q.route.elapsedBeforeArrival, route.LatencyObjective/2) // A late request does not justify spending budget on ever earlier hedges.
+		if route.FanOut {
+			s.UsefulUntil = q.route.partialDeadline
+		}
 		s.HedgeDelay = max(r.RoutePolicy.HedgeMin, grclock.Millis(ratio*float64(remaining)))
 	}
 	return s
@@ -304,7 +307,7 @@
 	}
 	r.abandonPending(now, q, out)
 	if q.route != nil {
-		r.setRouteOutcome(q, &result)
+		r.setRouteOutcome(now, q, &result)
 		r.releaseGroups(q, out)
 	} else {
 		result.Coverage, result.Snapshot = q.coverage.Fraction(), q.pinned.Snapshot
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -118,7 +118,7 @@
 	q.route = r.planRoute(now, &req)
 	q.dispatchers = r.dispatchersFor(q.route.services)
 	if code := r.admitRoute(now, q); code != "" {
-		r.refuseRoute(q, code, out)
+		r.refuseRoute(now, q, code, out)
 		return q.id
 	}
 	q.settled = resizedCleared(q.settled, len(q.dispatchers))
@@ -203,36 +203,51 @@
 
 // admitRoute rejects a request to one service that is not expected to be answered in
 // time. A request to many shards can be answered without the slowest ones, so for
-// those only the number of requests in flight counts.
+// those only the number of requests in flight counts, and whether the rate limits of the
+// searchers permit enough of its sub-requests in time.
 func (r *Router) admitRoute(now grclock.Millis, q *query) grerror.Code {
 	if q.route.isGroup && now >= q.route.partialDeadline {
 		return grerror.DeadlineTooShort // The requesting instance has bypassed this one by now.
 	}
+	if !q.route.isGroup && q.route.route.FanOut && now+r.rateLimitWait(now, q) > max(q.route.partialDeadline, now) {
+		return grerror.RateLimited
+	}
 	wait := grclock.Millis(0)
 	if len(q.dispatchers) == 1 {
-		wait = r.dispatchers[q.dispatchers[0]].ExpectedWait()
+		wait = r.dispatchers[q.dispatchers[0]].ExpectedWait(now)
 	}
 	r.admission.MaxInFlight = r.RoutePolicy.MaxInFlight
 	return r.admission.Admit(now, q.collectionName, 1, wait, q.deadline-now)
 }
 
-func (r *Router) refuseRoute(q *query, code grerror.Code, out *Output) {
+func (r *Router) refuseRoute(now grclock.Millis, q *query, code grerror.Code, out *Output) {
 	r.Counters.NotRun++
 	r.Counters.Rejected++
 	result := Result{ID: q.id, Outcome: NotRun, Code: code, Generation: q.generation, ShardsRequested: len(q.dispatchers)}
-	result.RetryAfter = r.retryAfter(q)
+	result.RetryAfter = r.retryAfter(now, q)
 	out.Results = append(out.Results, result)
 	r.freeQueries = append(r.freeQueries, q)
 }
 
-// retryAfter estimates when the services of a rejected request will have capacity
+// retryAfter estimates when enough services of a rejected request will have capacity
 // again.
-func (r *Router) retryAfter(q *query) grclock.Millis {
-	wait := minRetryAfter
-	for _, dispatcher := range q.dispatchers {
-		wait = max(wait, r.dispatchers[dispatcher].ExpectedWait())
+func (r *Router) retryAfter(now grclock.Millis, q *query) grclock.Millis {
+	wait := r.requiredWait(q, func(d *grdispatch.Dispatcher) grclock.Millis { return d.ExpectedWait(now) })
+	return max(minRetryAfter, wait)
+}
+
+// requiredWait returns the time until as many services of the request are ready as an
+// answer requires, given the wait for each.
+func (r *Router) requiredWait(q *query, waitFor func(d *grdispatch.Dispatcher) grclock.Millis) grclock.Millis {
+	if len(q.dispatchers) == 0 {
+		return 0
+	}
+	waits := make([]grclock.Millis, len(q.dispatchers))
+	for i, dispatcher := range q.dispatchers {
+		waits[i] = waitFor(r.dispatchers[dispatcher])
 	}
-	return wait
+	slices.Sort(waits)
+	return waits[q.route.requiredParts()-1]
 }
 
 // minRetryAfter is the smallest retry-after time sent to a rejected caller: about as
@@ -351,7 +366,7 @@
 
 // setRouteOutcome sets the outcome of a request on a route and the fields of the
 // result that depend on it.
-func (r *Router) setRouteOutcome(q *query, result *Result) {
+func (r *Router) setRouteOutcome(now grclock.Millis, q *query, result *Result) {
 	rs := q.route
 	started := q.started || slices.ContainsFunc(rs.groups, func(g group) bool { return g.open })
 	result.PartialResults, result.Failure, result.ShardsRequested = rs.parts, rs.failure, len(rs.services)
@@ -370,6 +385,6 @@
 		}
 	default:
 		result.Outcome, result.Code = NotRun, grerror.NoSearcher
-		result.RetryAfter = r.retryAfter(q)
+		result.RetryAfter = r.retryAfter(now, q)
 	}
 }
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -83,17 +83,18 @@
 
 // Output collects the output of a call. Callers reuse it to avoid allocations.
 type Output struct {
-	Actions          []grdispatch.Action
-	Results          []Result
-	Delegations      []Delegation
-	RateLimitChanges []grdispatch.RateLimitChange
-	dispatcher       grdispatch.Output
+	Actions           []grdispatch.Action
+	Results           []Result
+	Delegations       []Delegation
+	RateLimitChanges  []grdispatch.RateLimitChange
+	RateLimitRequests []RateLimitRequest
+	dispatcher        grdispatch.Output
 }
 
 // Reset empties the lists and keeps their memory.
 func (o *Output) Reset() {
 	o.Actions, o.Results, o.Delegations = o.Actions[:0], o.Results[:0], o.Delegations[:0]
-	o.RateLimitChanges = o.RateLimitChanges[:0]
+	o.RateLimitChanges, o.RateLimitRequests = o.RateLimitChanges[:0], o.RateLimitRequests[:0]
 }
 
 // Router runs the queries of one instance. Set the exported fields before Init.
@@ -141,6 +142,12 @@
 	singleServices   map[grident.Service]bool // services of the newest table that are not shards
 	random           grident.Random
 	timerLag         grstat.EWMA // mean delay of recent timers, in milliseconds
+
+	membership       Membership
+	membersChanged   bool           // since membersChangedAt was set; also when shards changed their block
+	membersChangedAt grclock.Millis // last change of the instances that can allocate rate limits
+	allocators       map[searcherRun]*allocator
+	rateLimitAsks    []grdispatch.RateLimitAsk // not sent yet
 }
 
 type timer struct {
@@ -181,6 +188,8 @@
 	r.collections = make(map[grident.Collection]*collection)
 	r.dispatcherIndexes = make(map[grident.Service]int32)
 	r.queries = make(map[grident.QueryID]*query)
+	r.allocators = make(map[searcherRun]*allocator)
+	r.membersChanged = true
 	r.deadlines.Less = func(a, b timer) bool { return a.at < b.at }
 	r.dispatcherWakes.Less = func(a, b dispatcherWake) bool { return a.at < b.at }
 }
@@ -331,9 +340,19 @@
 		change.Service = dispatcher
 		out.RateLimitChanges = append(out.RateLimitChanges, change)
 	}
+	for _, ask := range out.dispatcher.RateLimitAsks {
+		ask.Service = dispatcher
+		r.rateLimitAsks = append(r.rateLimitAsks, ask)
+	}
 	done := out.dispatcher.Done
 	out.dispatcher.Reset()
 	r.scheduleWake(dispatcher)
+	r.endSubRequests(now, done, out)
+	r.sendRateLimitAsks(now, out)
+}
+
+// endSubRequests passes ended sub-requests to their queries.
+func (r *Router) endSubRequests(now grclock.Millis, done []grdispatch.Done, out *Output) {
 	if len(done) == 0 {
 		return
 	}
--- a/protocol/grwire/gather.go
+++ b/protocol/grwire/gather.go
@@ -1,7 +1,5 @@
 package grwire
 
-import "github.com/fxamacker/cbor/v2"
-
 // GatherRequest requests the partial results of a group of shards from the owner of the
 // group, or those of the group that are still missing, or cancels the group. It is
 // encoded as CBOR, like PeerMessage.
@@ -57,43 +55,3 @@
 	// TypicalRemainingMS is the typical remaining time of the route's callers.
 	TypicalRemainingMS int64 `cbor:"7,keyasint,omitempty"`
 }
-
-// GatherAskFrame carries a GatherRequest over net/rpc as CBOR. Its field is
-// unexported because encoding/gob would describe the types of exported fields on each
-// new connection.
-type GatherAskFrame struct{ request *GatherRequest }
-
-// NewGatherAskFrame wraps a GatherRequest in a frame.
-func NewGatherAskFrame(request *GatherRequest) GatherAskFrame { return GatherAskFrame{request} }
-
-// Request returns the wrapped GatherRequest, or nil for the zero frame.
-func (f GatherAskFrame) Request() *GatherRequest { return f.request }
-
-// GobEncode encodes the GatherRequest as CBOR.
-func (f GatherAskFrame) GobEncode() ([]byte, error) { return cbor.Marshal(f.request) }
-
-// GobDecode decodes the GatherRequest from CBOR.
-func (f *GatherAskFrame) GobDecode(data []byte) error {
-	f.request = &GatherRequest{}
-	return cbor.Unmarshal(data, f.request)
-}
-
-// GatherAnswerFrame carries a GatherAnswer over net/rpc as CBOR, like GatherAskFrame.
-type GatherAnswerFrame struct{ response *GatherAnswer }
-
-// NewGatherAnswerFrame wraps a GatherAnswer in a frame.
-func NewGatherAnswerFrame(response *GatherAnswer) GatherAnswerFrame {
-	return GatherAnswerFrame{response}
-}
-
-// Answer returns the wrapped GatherAnswer, or nil for the zero frame.
-func (f GatherAnswerFrame) Answer() *GatherAnswer { return f.response }
-
-// GobEncode encodes the GatherAnswer as CBOR.
-func (f GatherAnswerFrame) GobEncode() ([]byte, error) { return cbor.Marshal(f.response) }
-
-// GobDecode decodes the GatherAnswer from CBOR.
-func (f *GatherAnswerFrame) GobDecode(data []byte) error {
-	f.response = &GatherAnswer{}
-	return cbor.Unmarshal(data, f.response)
-}
--- a/protocol/grwire/gather_test.go
+++ b/protocol/grwire/gather_test.go
@@ -18,21 +18,21 @@
 	answer := GatherAnswer{Services: []string{"s2"}, Signatures: []string{"3e1b.07"}, Body: []byte{1, 0, 255}, More: true}
 	var wire bytes.Buffer
 	encoder, decoder := gob.NewEncoder(&wire), gob.NewDecoder(&wire)
-	if err := encoder.Encode(NewGatherAskFrame(&request)); err != nil {
+	if err := encoder.Encode(NewFrame(&request)); err != nil {
 		t.Fatal(err)
 	}
 	if size := wire.Len(); size > 250 {
 		t.Errorf("first request: %d bytes, want at most 250", size)
 	}
-	if err := encoder.Encode(NewGatherAnswerFrame(&answer)); err != nil {
+	if err := encoder.Encode(NewFrame(&answer)); err != nil {
 		t.Fatal(err)
 	}
-	var gotRequest GatherAskFrame
-	var gotAnswer GatherAnswerFrame
-	if err := decoder.Decode(&gotRequest); err != nil || !reflect.DeepEqual(gotRequest.Request(), &request) {
-		t.Errorf("%v: decoded request %+v", err, gotRequest.Request())
+	var gotRequest Frame[GatherRequest]
+	var gotAnswer Frame[GatherAnswer]
+	if err := decoder.Decode(&gotRequest); err != nil || !reflect.DeepEqual(gotRequest.Message(), &request) {
+		t.Errorf("%v: decoded request %+v", err, gotRequest.Message())
 	}
-	if err := decoder.Decode(&gotAnswer); err != nil || !reflect.DeepEqual(gotAnswer.Answer(), &answer) {
-		t.Errorf("%v: decoded answer %+v", err, gotAnswer.Answer())
+	if err := decoder.Decode(&gotAnswer); err != nil || !reflect.DeepEqual(gotAnswer.Message(), &answer) {
+		t.Errorf("%v: decoded answer %+v", err, gotAnswer.Message())
 	}
 }
--- /dev/null
+++ b/protocol/grwire/ratelimit.go
@@ -0,0 +1,110 @@
+package grwire
+
+import (
+	"math"
+
+	"geraniumrouter/coordination/grdispatch"
+	"geraniumrouter/coordination/grratelimit"
+	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grident"
+)
+
+// RateLimitRequest requests units of searchers' rate limits from the instance that
+// allocates them. It is encoded as CBOR, like PeerMessage.
+type RateLimitRequest struct {
+	From string             `cbor:"1,keyasint,omitempty"` // requesting instance
+	Asks []RateLimitAskWire `cbor:"2,keyasint,omitempty"`
+}
+
+// RateLimitAskWire requests units of one searcher's rate limit.
+type RateLimitAskWire struct {
+	Service   string            `cbor:"1,keyasint,omitempty"`
+	Searcher  string            `cbor:"2,keyasint,omitempty"`
+	Domain    string            `cbor:"3,keyasint,omitempty"`
+	Run       uint64            `cbor:"4,keyasint,omitempty"`
+	Statement RateStatementWire `cbor:"5,keyasint,omitempty"`
+	Wanted    int               `cbor:"6,keyasint,omitempty"`
+}
+
+// RateStatementWire is what a searcher stated about its rate limit.
+type RateStatementWire struct {
+	Kind  uint8   `cbor:"1,keyasint,omitempty"` // as grratelimit.StatementKind
+	Rate  float64 `cbor:"2,keyasint,omitempty"` // requests per second
+	AgeMS int64   `cbor:"3,keyasint,omitempty"`
+}
+
+// RateLimitAnswer answers a RateLimitRequest, with one grant for each request for units in
+// the same order.
+type RateLimitAnswer struct {
+	Grants []RateLimitGrantWire `cbor:"1,keyasint,omitempty"`
+}
+
+// RateLimitGrantWire grants units of one searcher's rate limit.
+type RateLimitGrantWire struct {
+	Units      int               `cbor:"1,keyasint,omitempty"`
+	NextUnitMS int64             `cbor:"2,keyasint,omitempty"` // expected time until a further unit
+	Statement  RateStatementWire `cbor:"3,keyasint,omitempty"`
+	Refused    bool              `cbor:"4,keyasint,omitempty"` // another instance allocates this limit
+}
+
+// RateLimitRequestTo converts requests for units to their wire form.
+func RateLimitRequestTo(from grident.InstanceID, asks []grdispatch.RateLimitAsk, serviceName func(int32) grident.Service) *RateLimitRequest {
+	w := &RateLimitRequest{From: string(from)}
+	for _, a := range asks {
+		w.Asks = append(w.Asks, RateLimitAskWire{
+			Service: string(serviceName(a.Service)), Searcher: string(a.Searcher), Domain: string(a.Domain), Run: uint64(a.Incarnation),
+			Statement: rateStatementTo(a.Request.Statement, a.Request.Age), Wanted: a.Request.Wanted,
+		})
+	}
+	return w
+}
+
+// RateLimitAsksFrom converts requests for units from their wire form.
+func RateLimitAsksFrom(w *RateLimitRequest) []grrouter.RateLimitAsk {
+	list := make([]grrouter.RateLimitAsk, len(w.Asks))
+	for i := range w.Asks {
+		a := &w.Asks[i]
+		list[i] = grrouter.RateLimitAsk{
+			Service: grident.Service(a.Service), Searcher: grident.SearcherID(a.Searcher),
+			Domain: grident.FailureDomain(a.Domain), Incarnation: grident.Incarnation(a.Run),
+		}
+		list[i].Request.Statement, list[i].Request.Age = rateStatementFrom(a.Statement)
+		list[i].Request.Wanted = a.Wanted
+	}
+	return list
+}
+
+// RateLimitAnswerTo converts grants to their wire form.
+func RateLimitAnswerTo(grants []grratelimit.Grant) RateLimitAnswer {
+	var w RateLimitAnswer
+	for _, g := range grants {
+		w.Grants = append(w.Grants, RateLimitGrantWire{
+			Units: g.Units, NextUnitMS: int64(g.NextUnit), Statement: rateStatementTo(g.Statement, g.Age), Refused: g.Refused,
+		})
+	}
+	return w
+}
+
+// RateLimitGrantFrom converts a grant from its wire form.
+func RateLimitGrantFrom(w *RateLimitGrantWire) grratelimit.Grant {
+	g := grratelimit.Grant{Units: w.Units, NextUnit: grclock.Millis(w.NextUnitMS), Refused: w.Refused}
+	g.Statement, g.Age = rateStatementFrom(w.Statement)
+	return g
+}
+
+func rateStatementTo(s grratelimit.Statement, age grclock.Millis) RateStatementWire {
+	return RateStatementWire{Kind: uint8(s.Kind), Rate: float64(s.Rate), AgeMS: int64(age)}
+}
+
+// rateStatementFrom converts a statement from its wire form. A malformed one says nothing.
+func rateStatementFrom(w RateStatementWire) (grratelimit.Statement, grclock.Millis) {
+	age := grclock.Millis(w.AgeMS)
+	switch kind := grratelimit.StatementKind(w.Kind); {
+	case kind == grratelimit.Unlimited:
+		return grratelimit.Statement{Kind: kind}, age
+	case kind == grratelimit.Limited && w.Rate >= 0 && !math.IsInf(w.Rate, 1):
+		return grratelimit.Statement{Kind: kind, Rate: grratelimit.Rate(w.Rate)}, age
+	}
+	return grratelimit.Statement{}, age
+}
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -63,16 +63,11 @@
 	return in
 }
 
-func (in *instance) start() {
+// start starts the instance, which knows the given members.
+func (in *instance) start(members []*instance) {
 	sim := in.sim
 	in.router.SetTable(sim.now, sim.table, &in.out)
-	var peers []grrouter.Peer
-	for _, other := range sim.instances {
-		if other != in {
-			peers = append(peers, grrouter.Peer{ID: other.id, Domain: other.domain})
-		}
-	}
-	in.router.SetPeers(sim.now, peers, &in.out)
+	in.setPeers(members)
 	lists := make(map[grident.Service][]grdispatch.Searcher)
 	for _, s := range sim.searchers {
 		lists[s.service] = append(lists[s.service], grdispatch.Searcher{ID: s.id, Domain: s.domain, Slots: sim.config.Slots, ConnLimit: 2, OwnerConnLimit: 3})
@@ -83,6 +78,17 @@
 	in.applyOutput()
 }
 
+// setPeers replaces the members that the instance knows.
+func (in *instance) setPeers(members []*instance) {
+	var peers []grrouter.Peer
+	for _, other := range members {
+		if other.id != in.id {
+			peers = append(peers, grrouter.Peer{ID: other.id, Domain: other.domain})
+		}
+	}
+	in.router.SetPeers(in.sim.now, peers, &in.out)
+}
+
 // deliver runs an event on the instance, or after the pause if it is paused.
 // Events of a killed instance are dropped.
 func (in *instance) deliver(do func()) {
@@ -152,6 +158,9 @@
 	for i := range in.out.Results {
 		in.handleResult(&in.out.Results[i])
 	}
+	for i := range in.out.RateLimitRequests {
+		in.requestUnits(in.out.RateLimitRequests[i])
+	}
 	in.out.Reset()
 	wake := in.router.NextWake()
 	if wake >= grclock.Never || wake >= in.wakeAt && in.wakeAt > sim.now {
--- a/standin/grstandroute/ratelimit.go
+++ b/standin/grstandroute/ratelimit.go
@@ -3,7 +3,9 @@
 import (
 	"math"
 
+	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grratelimit"
+	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/state/grclock"
 )
 
@@ -71,3 +73,29 @@
 		}
 	}
 }
+
+// requestUnits sends a request for units of rate limits to another instance. A killed one
+// does not answer.
+func (in *instance) requestUnits(r grrouter.RateLimitRequest) {
+	sim := in.sim
+	peer := sim.instance(r.To)
+	asks := make([]grrouter.RateLimitAsk, len(r.Asks))
+	for i, a := range r.Asks {
+		asks[i] = grrouter.RateLimitAsk{
+			Service: in.router.ServiceName(a.Service), Searcher: a.Searcher, Domain: a.Domain, Incarnation: a.Incarnation, Request: a.Request,
+		}
+	}
+	sim.after(sim.peerOneWay(), func() {
+		peer.deliver(func() {
+			grants := peer.router.GrantRateLimits(sim.now, in.id, asks)
+			sim.after(sim.peerOneWay(), func() { in.deliver(func() { in.handleGrants(r.Asks, grants) }) })
+		})
+	})
+}
+
+func (in *instance) handleGrants(asks []grdispatch.RateLimitAsk, grants []grratelimit.Grant) {
+	for i := range asks {
+		grant := grdispatch.RateLimitGrant{Searcher: asks[i].Searcher, Incarnation: asks[i].Incarnation, AskedAt: asks[i].AskedAt, Grant: grants[i]}
+		in.router.HandleRateLimitGrant(in.sim.now, asks[i].Service, &grant, &in.out)
+	}
+}
--- a/standin/grstandroute/ratelimit_test.go
+++ b/standin/grstandroute/ratelimit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grident"
 )
 
 // limitedFor is the time in which searchers state a rate limit in most tests.
@@ -20,8 +21,51 @@
 		{Seed: 4, Instances: 30, Shards: 40, RateLimits: []RateLimit{limitedFor(3, 40, 1)}},
 		{Seed: 5, Instances: 3, NoDelegation: true, RateLimits: []RateLimit{limitedFor(0.4, 3, 1)}},
 	} {
-		if report := Run(c); len(report.Violations) > 0 {
+		report := Run(c)
+		t.Logf("%+v", report)
+		if len(report.Violations) > 0 {
 			t.Errorf("seed %d: %v", c.Seed, report.Violations)
 		}
 	}
 }
+
+// TestRestartsExceedStatedRateLimit guards against units that two instances grant while their views of the members differ.
+func TestRestartsExceedStatedRateLimit(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		random := grident.Random{State: seed}
+		c := Config{
+			Seed: seed, Duration: 14 * grclock.Second, Instances: 3 + random.IntN(10), Shards: 8, NoDelegation: random.IntN(4) == 0,
+			RestartEvery: grclock.Millis(1500 + random.IntN(3000)), PeerDelay: grclock.Millis(1 + random.IntN(100)),
+			RateLimits: []RateLimit{{From: 3 * grclock.Second, Until: 14 * grclock.Second, PerSecond: 2 + 20*random.Float64(), Shards: 4, Searchers: 1}},
+		}
+		if report := Run(c); len(report.Violations) > 0 {
+			t.Errorf("seed %d: %+v: %v", seed, c, report.Violations)
+		}
+	}
+}
+
+// TestRateLimitLosesAnswers guards against answers lost although the other searchers of a shard have no limit.
+func TestRateLimitLosesAnswers(t *testing.T) {
+	c := Config{Seed: 7, SearcherPause: 100}
+	without := Run(c)
+	c.RateLimits = []RateLimit{limitedFor(4, 20, 1)}
+	with := Run(c)
+	t.Logf("without %+v", without)
+	t.Logf("with %+v", with)
+	if with.Score < 0.97*without.Score {
+		t.Errorf("score %.3f with limits, %.3f without", with.Score, without.Score)
+	}
+}
+
+// TestLimitedShardDelaysAnswers guards against answers that wait for a shard whose searchers' limits permit it nothing in time.
+func TestLimitedShardDelaysAnswers(t *testing.T) {
+	c := Config{Seed: 8}
+	without := Run(c)
+	c.RateLimits = []RateLimit{limitedFor(3, 1, 2)}
+	with := Run(c)
+	t.Logf("without %+v", without)
+	t.Logf("with %+v", with)
+	if with.P50 > 2*without.P50 {
+		t.Errorf("median %d ms with limits, %d ms without", with.P50, without.P50)
+	}
+}
--- a/standin/grstandroute/simulation.go
+++ b/standin/grstandroute/simulation.go
@@ -53,6 +53,7 @@
 	FailedShare      float64        // share of replies that are failures
 	InstancePause    grclock.Millis // duration of a pause of a random instance each second
 	KillInstance     bool           // a random instance is killed halfway through
+	RestartEvery     grclock.Millis // interval between restarts of a random instance, of which the others learn at different times
 	PeerDelay        grclock.Millis // maximum extra delay of one in peerDelayOneIn messages between instances
 	ReplyTime        grclock.Millis // processing time of an instance for each reply of a searcher
 	ReplyTimeUnknown bool           // routers do not take ReplyTime into account
@@ -207,7 +208,7 @@
 		sim.instances = append(sim.instances, sim.newInstance(i))
 	}
 	for _, in := range sim.instances {
-		in.start()
+		in.start(sim.instances)
 	}
 }
 
@@ -224,6 +225,11 @@
 			sim.after(at, func() { sim.instances[sim.random.IntN(len(sim.instances))].pause(c.InstancePause) })
 		}
 	}
+	if c.RestartEvery > 0 {
+		for at := c.RestartEvery; at < c.Duration; at += c.RestartEvery {
+			sim.after(at, func() { sim.restart(sim.random.IntN(len(sim.instances))) })
+		}
+	}
 	if c.KillInstance {
 		sim.after(c.Duration/2, func() { sim.instances[sim.random.IntN(len(sim.instances))].kill() })
 	}
--- a/state/grerror/error.go
+++ b/state/grerror/error.go
@@ -18,6 +18,7 @@
 	BadKey            Code = "bad_key"
 	ExpiredRequestID  Code = "expired_request_id"
 	Overloaded        Code = "overloaded"
+	RateLimited       Code = "rate_limited"
 	DeadlineTooShort  Code = "deadline_too_short"
 	NotReady          Code = "not_ready"
 	Leaving           Code = "leaving"
@@ -54,6 +55,7 @@
 	UnknownCollection: "there is no such collection",
 	BadKey:            "the key is outside of the collection",
 	Overloaded:        "it could not be answered in time under the present load",
+	RateLimited:       "the rate limits of the searchers permit no answer in time",
 	DeadlineTooShort:  "the deadline leaves no time to answer",
 	NotReady:          "no preset is known yet",
 	CoverageTooLow:    "less was found than the preset asks for",
--- a/transport/grnode/event.go
+++ b/transport/grnode/event.go
@@ -125,9 +125,15 @@
 }
 
 // peersUpdated carries the instances that groups can be delegated to.
-type peersUpdated struct{ members []grcluster.Member }
+type peersUpdated struct {
+	members    []grcluster.Member
+	membership grrouter.Membership
+}
 
-func (e *peersUpdated) apply(l *routerLoop, now grclock.Millis) { l.setPeers(now, e.members) }
+func (e *peersUpdated) apply(l *routerLoop, now grclock.Millis) {
+	l.router.SetMembership(e.membership)
+	l.setPeers(now, e.members)
+}
 
 // reductionRequested requests a report once the connections held are within each
 // connection limit divided by the divisor.
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -27,8 +27,9 @@
 	targetDivisor  int                                     // to report on, as in controlLoop; 0: none
 	nextProbe      grclock.Millis                          // when idle connections are probed next
 	metrics        routerMetrics
-	labelledRoutes map[string]bool                                 // routes with a metric label of their own
-	loggedAttempts map[grident.SearcherID]grdispatch.AttemptCounts // to searchers with a rate limit, as last logged
+	labelledRoutes map[string]bool                                        // routes with a metric label of their own
+	rateLimitAsks  map[*grwire.RateLimitRequest][]grdispatch.RateLimitAsk // calls for units without an answer
+	loggedAttempts map[grident.SearcherID]grdispatch.AttemptCounts        // to searchers with a rate limit, as last logged
 }
 
 // unsent is an attempt whose query ended before the attempt was sent.
@@ -44,6 +45,7 @@
 func (l *routerLoop) init() {
 	l.pending = make(map[grident.QueryID]*pendingRequest)
 	l.queryIDs = make(map[uint64]grident.QueryID)
+	l.rateLimitAsks = make(map[*grwire.RateLimitRequest][]grdispatch.RateLimitAsk)
 	l.addresses = make(map[grident.SearcherID]grident.Address)
 	l.labelledRoutes = make(map[string]bool)
 	l.metrics.register(l.node.Metrics)
@@ -125,6 +127,9 @@
 		for i := range l.out.Results {
 			l.deliver(&l.out.Results[i])
 		}
+		for i := range l.out.RateLimitRequests {
+			l.sendRateLimitRequest(&l.out.RateLimitRequests[i])
+		}
 		l.logRateLimitChanges()
 		l.out.Reset()
 		if len(l.unsent) == 0 {
@@ -234,6 +239,7 @@
 		"subrequests_retried":   sum.Retries,
 		"subrequests_resent":    sum.Resent,
 		"subrequests_cancelled": sum.Cancelled,
+		"subrequests_held_back": sum.RateLimited,
 		"hedges_denied":         sum.HedgesDenied,
 		"retries_denied":        sum.RetriesDenied,
 		"searchers_shed":        sum.Sheds,
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -88,7 +88,7 @@
 	if tlsConfigs.peers != nil {
 		listener = tls.NewListener(listener, tlsConfigs.peers)
 	}
-	peers := &grpeer.Service{OnMessage: n.onMessage, OnStatus: n.ownStatus, OnGather: n.onGather, OnPanic: n.ReportPanic}
+	peers := &grpeer.Service{OnMessage: n.onMessage, OnStatus: n.ownStatus, OnGather: n.onGather, OnRateLimit: n.onRateLimit, OnPanic: n.ReportPanic}
 	n.group.Start(func(ctx context.Context) error { return peers.Serve(ctx, listener) })
 	n.group.Start(n.routerLoop.run)
 	n.group.Start(n.controlLoop.run)
@@ -152,8 +152,9 @@
 		Traffic: n.byteCounters("member", ""),
 	}
 	n.groupClient = &grpeer.GroupClient{
-		Group:   n.group,
-		OnEvent: func(e grpeer.GroupEvent) { n.post(&groupCallEnded{e}) },
+		Group:       n.group,
+		OnEvent:     func(e grpeer.GroupEvent) { n.post(&groupCallEnded{e}) },
+		OnRateLimit: func(e grpeer.RateLimitEvent) { n.post(&rateLimitCallEnded{e}) },
 	}
 	n.claimLoop.node = n
 	n.claimLoop.init()
--- a/transport/grnode/outcome.go
+++ b/transport/grnode/outcome.go
@@ -87,6 +87,9 @@
 	if s.History.AttemptEnded {
 		to.AddString("last", s.History.LastKind.String())
 	}
+	if s.History.RateLimited {
+		to.AddBool("rate_limited", true)
+	}
 	if s.History.Waiting {
 		to.AddBool("waiting", true)
 	}
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -113,7 +113,21 @@
 		c.state.SetCallerAddress(now, c.node.Settings.CallerAddress, &c.out)
 		c.node.Log.Info("ready")
 	}
-	c.node.post(&peersUpdated{c.state.Entries(c.node.Settings.FailureDomain, 0)})
+	c.node.post(&peersUpdated{c.state.Entries(c.node.Settings.FailureDomain, 0), c.membership()})
+}
+
+// membership describes this instance's place among the members to the router.
+func (c *controlLoop) membership() grrouter.Membership {
+	var m grrouter.Membership
+	for _, member := range c.state.Status() {
+		switch {
+		case member.State == grcluster.Suspect && member.ID != c.node.Settings.Instance:
+			m.Unreachable++
+		case member.State == grcluster.Leaving && member.ID == c.node.Settings.Instance:
+			m.Leaving = true
+		}
+	}
+	return m
 }
 
 // hasSearcher reports whether the router has been given a searcher.
--- a/transport/grpeer/frames_test.go
+++ b/transport/grpeer/frames_test.go
@@ -114,6 +114,35 @@
 	}
 }
 
+// TestRateLimitCall checks that a call for units is answered on the connection of group
+// calls, and reported without an answer if the peer cannot be reached.
+func TestRateLimitCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := grgroup.New(context.Background())
+	service := &Service{OnRateLimit: func(request grwire.RateLimitRequest) grwire.RateLimitAnswer {
+		return grwire.RateLimitAnswer{Grants: make([]grwire.RateLimitGrantWire, len(request.Asks))}
+	}}
+	group.Start(func(ctx context.Context) error { return service.Serve(ctx, listener) })
+	events := make(chan RateLimitEvent, 2)
+	client := &GroupClient{Group: group, OnRateLimit: func(e RateLimitEvent) { events <- e }}
+	t.Cleanup(func() {
+		group.Stop()
+		_ = group.Wait() // The listener is already closed; its error does not matter.
+	})
+	request := &grwire.RateLimitRequest{From: "a", Asks: make([]grwire.RateLimitAskWire, 2)}
+	client.SendRateLimit("b", grident.Address(listener.Addr().String()), grdial.ByteCounters{}, request)
+	if e := <-events; e.Request != request || e.Answer == nil || len(e.Answer.Grants) != 2 {
+		t.Errorf("call: %+v, want two grants", e)
+	}
+	client.SendRateLimit("c", "127.0.0.1:1", grdial.ByteCounters{}, request)
+	if e := <-events; e.Request != request || e.Answer != nil {
+		t.Errorf("call to an unreachable peer: %+v, want no answer", e)
+	}
+}
+
 func sendUntilClosed(address string, first, block []byte) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
--- a/transport/grpeer/peer.go
+++ b/transport/grpeer/peer.go
@@ -65,7 +65,9 @@
 	OnMessage func(message grwire.PeerMessage) grwire.PeerMessage
 	OnStatus  func() grwire.InstanceStatus
 	OnGather  func(request grwire.GatherRequest) grwire.GatherAnswer
-	OnPanic   func(p *grgroup.PanicError) // panics of call handlers; may be nil
+	// OnRateLimit answers a call for units of searchers' rate limits.
+	OnRateLimit func(request grwire.RateLimitRequest) grwire.RateLimitAnswer
+	OnPanic     func(p *grgroup.PanicError) // panics of call handlers; may be nil
 }
 
 // Deliver takes an encoded message and answers with another one.
