--- a/standin/grstandroute/ratelimit_test.go
+++ b/standin/grstandroute/ratelimit_test.go
@@ -69,3 +69,16 @@
 		t.Errorf("median %d ms with limits, %d ms without", with.P50, without.P50)
 	}
 }
+
+// TestUninformedInstancesExceedStatedRateLimit guards against instances that only learn of a limit by a request beyond it.
+func TestUninformedInstancesExceedStatedRateLimit(t *testing.T) {
+	for seed := range uint64(5) {
+		c := Config{
+			Seed: seed, Instances: 80, NoDelegation: true, Interval: 150, Duration: 30 * grclock.Second,
+			RateLimits: []RateLimit{{From: 4 * grclock.Second, Until: 30 * grclock.Second, PerSecond: 0.5, Shards: 20, Searchers: 1}},
+		}
+		if report := Run(c); len(report.Violations) > 0 {
+			t.Errorf("seed %d: %v", seed, report.Violations)
+		}
+	}
+}
