Publish stated rate limits by gossip, so that instances know before they send

What callers saw: nothing. Upstreams got one request beyond the limit from each instance that had not asked them lately, and from each that had just started. Cause: an instance learned of a limit only from an answer to a request of its own. Ruled out: telling the allocator only (it learns, those that don't ask it do not). What an upstream said within the last second counts more.

--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -1,6 +1,6 @@
 // Package grcluster maintains the cluster state that instances replicate among each
-// other by gossip: the members, the searchers and their states, the active preset,
-// the routing table, the divisor of connection limits, and which instances watch the
+// other by gossip: the members, the searchers, their states and rate limits, the active
+// preset, the routing table, the divisor of connection limits, and which instances watch the
 // platform.
 //
 // A Cluster is a pure state machine over a grgossip.Map. It takes events, and
@@ -50,10 +50,13 @@
 	RoutingTable     *grroutes.Table        // newly active routing table, or nil
 	SearchersChanged bool                   // the searchers or the divisor changed
 	MembersChanged   bool                   // the members or their states changed
+	RateLimits       []RateLimit            // new rate limits of searchers, those published here included
 }
 
 // Reset clears all results and keeps the allocated memory.
-func (o *Output) Reset() { *o = Output{Messages: o.Messages[:0], ShardMaps: o.ShardMaps[:0]} }
+func (o *Output) Reset() {
+	*o = Output{Messages: o.Messages[:0], ShardMaps: o.ShardMaps[:0], RateLimits: o.RateLimits[:0]}
+}
 
 // Intervals of heartbeats and startup.
 const (
@@ -99,6 +102,7 @@
 	pendingDivisor  int                                   // larger divisor, limits connections already; published when they are reduced to it
 	membersRead     bool                                  // the platform's list of members was read
 	listMisses      map[grident.SearcherID]int            // consecutive lists of the platform without the searcher
+	rateLimitsAt    map[grident.SearcherID]grclock.Millis // last publications of rate limits
 	missingRuns     map[grident.InstanceID]missingRun
 	nextHeartbeat   grclock.Millis
 	members         []Member // members that are not gone, ordered by hash; rebuilt when stale
@@ -117,6 +121,7 @@
 	c.unansweredSince = make(map[grident.InstanceID]grclock.Millis)
 	c.loads = make(map[grident.InstanceID]int)
 	c.listMisses = make(map[grident.SearcherID]int)
+	c.rateLimitsAt = make(map[grident.SearcherID]grclock.Millis)
 	c.missingRuns = make(map[grident.InstanceID]missingRun)
 	c.items.PushRounds, c.groupItems.PushRounds = pushRounds, pushRounds
 	c.items.OnChange = c.itemChanged
@@ -293,6 +298,8 @@
 		c.out.RoutingTable = item.Value.RoutingTable
 	case SearcherKind:
 		c.out.SearchersChanged = true
+	case RateLimitKind:
+		c.out.RateLimits = append(c.out.RateLimits, item.Value.RateLimit)
 	case MemberKind:
 		c.membersStale, c.divisorStale, c.out.MembersChanged = true, true, true
 		c.out.SearchersChanged = c.out.SearchersChanged || c.UncoordinatedDivisor
--- a/coordination/grcluster/value.go
+++ b/coordination/grcluster/value.go
@@ -21,6 +21,7 @@
 	PresetKind                                // the active preset
 	ShardMapKind                              // a shard map
 	RoutingTableKind                          // the routing table
+	RateLimitKind                             // the rate limit that a searcher states
 )
 
 // State is the state of a member or searcher.
@@ -69,6 +70,7 @@
 	Preset           *grpreset.ActivePreset
 	ShardMap         *grsnapshot.ShardMap
 	RoutingTable     *grroutes.Table
+	RateLimit        RateLimit
 }
 
 // Item is an entry of the replicated map.
@@ -106,6 +108,7 @@
 func divisorKey(id grident.InstanceID) grgossip.Key    { return grgossip.Key("holding/" + id) }
 func searcherKey(id grident.SearcherID) grgossip.Key   { return grgossip.Key("searcher/" + id) }
 func registeredKey(id grident.InstanceID) grgossip.Key { return grgossip.Key("registered/" + id) }
+func rateLimitKey(id grident.SearcherID) grgossip.Key  { return grgossip.Key("limit/" + id) }
 func shardMapKey(c grident.Collection) grgossip.Key    { return grgossip.Key("map/" + c) }
 
 const (
--- a/coordination/grdispatch/ratelimit.go
+++ b/coordination/grdispatch/ratelimit.go
@@ -14,7 +14,9 @@
 type RateLimitChange struct {
 	Service  int32 // set by the router
 	Searcher grident.SearcherID
+	Run      grident.Incarnation // of the searcher
 	Old, New grratelimit.Statement
+	Learned  bool // from another instance
 }
 
 // RateLimitAsk requests units of a searcher's rate limit from the instance that allocates
@@ -61,15 +63,17 @@
 func (d *Dispatcher) recordRateLimit(now grclock.Millis, r *searcherState, s grratelimit.Statement, out *Output) {
 	old := r.rateLimit.Record().Statement()
 	if r.rateLimit.State(now, s) {
-		reportRateLimit(r, old, out)
+		reportRateLimit(r, old, false, out)
 	}
 }
 
 // reportRateLimit reports a changed statement, unless no limit was and is in force.
-func reportRateLimit(r *searcherState, old grratelimit.Statement, out *Output) {
-	if old.Kind == grratelimit.Limited || r.rateLimit.Limited() {
-		out.RateLimitChanges = append(out.RateLimitChanges, RateLimitChange{Searcher: r.ID, Old: old, New: r.rateLimit.Record().Statement()})
+func reportRateLimit(r *searcherState, old grratelimit.Statement, learned bool, out *Output) {
+	if old.Kind != grratelimit.Limited && !r.rateLimit.Limited() {
+		return
 	}
+	change := RateLimitChange{Searcher: r.ID, Run: r.Incarnation, Old: old, New: r.rateLimit.Record().Statement(), Learned: learned}
+	out.RateLimitChanges = append(out.RateLimitChanges, change)
 }
 
 // useRateLimit takes a unit for an attempt of the sub-request and counts the attempt.
@@ -169,11 +173,24 @@
 	}
 	old := r.rateLimit.Record().Statement()
 	if r.rateLimit.Granted(now, g.AskedAt, g.Grant) {
-		reportRateLimit(r, old, out)
+		reportRateLimit(r, old, true, out)
 	}
 	d.dispatch(now, out)
 }
 
+// LearnRateLimit records a rate limit that a searcher stated to another instance.
+func (d *Dispatcher) LearnRateLimit(now grclock.Millis, id grident.SearcherID, run grident.Incarnation, s grratelimit.Statement, out *Output) {
+	r := d.searcherRun(id, run)
+	if r == nil {
+		return
+	}
+	old := r.rateLimit.Record().Statement()
+	if r.rateLimit.Learn(now, s) {
+		reportRateLimit(r, old, true, out)
+		d.dispatch(now, out)
+	}
+}
+
 // RateLimitOf returns the newest statement of a searcher about its rate limit and its age.
 func (d *Dispatcher) RateLimitOf(now grclock.Millis, id grident.SearcherID, run grident.Incarnation) (grratelimit.Statement, grclock.Millis) {
 	r := d.searcherRun(id, run)
--- a/coordination/grratelimit/allowance.go
+++ b/coordination/grratelimit/allowance.go
@@ -68,6 +68,19 @@
 	return changed
 }
 
+// freshTime is the age up to which an own statement is taken for newer than a learned one.
+const freshTime = grclock.Second
+
+// Learn records a statement that another instance received at an unknown time. It has no
+// effect if the upstream itself said something recently. It reports whether the statement
+// changed by it.
+func (a *Allowance) Learn(now grclock.Millis, s Statement) (changed bool) {
+	if a.record.Statement().Kind != Unstated && a.record.Age(now) < freshTime {
+		return false
+	}
+	return a.update(now, s, freshTime)
+}
+
 // Record returns the newest statement.
 func (a *Allowance) Record() *Record { return &a.record }
 
--- a/coordination/grratelimit/statement.go
+++ b/coordination/grratelimit/statement.go
@@ -2,7 +2,7 @@
 // states, over all instances together, even if they learn of the limit at different times.
 //
 // An upstream states its limit in its answers, for as long as it is in need; a Record keeps
-// the newest Statement. One instance allocates the limit: its Allocator hands out units, each
+// the newest Statement, which an instance receives itself or learns from another. One instance allocates the limit: its Allocator hands out units, each
 // good for one request within LeaseTime, at the stated rate. Every instance, that one
 // included, asks for units when it has requests for the upstream and keeps what it gets in
 // an Allowance. Without a unit no request is sent, whatever its kind: first attempts,
--- a/coordination/grrouter/ratelimit.go
+++ b/coordination/grrouter/ratelimit.go
@@ -197,6 +197,16 @@
 	r.collect(now, dispatcher, out)
 }
 
+// LearnRateLimit records a rate limit that a searcher stated to another instance.
+func (r *Router) LearnRateLimit(now grclock.Millis, name grident.Service, id grident.SearcherID, run grident.Incarnation, s grratelimit.Statement, out *Output) {
+	dispatcher, ok := r.dispatcherIndexes[name]
+	if !ok {
+		return
+	}
+	r.dispatchers[dispatcher].LearnRateLimit(now, id, run, s, &out.dispatcher)
+	r.collect(now, dispatcher, out)
+}
+
 // rateLimitWait returns the expected time until rate limits permit enough shards of the
 // request to be sent for an answer.
 func (r *Router) rateLimitWait(now grclock.Millis, q *query) grclock.Millis {
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -62,6 +62,7 @@
 	Active           *ActiveWire           `cbor:"7,keyasint,omitempty"`
 	Map              *MapWire              `cbor:"8,keyasint,omitempty"`
 	Table            *TableWire            `cbor:"9,keyasint,omitempty"`
+	RateLimit        *RateLimitWire        `cbor:"10,keyasint,omitempty"`
 }
 
 // MemberWire describes an entry instance.
@@ -224,6 +225,8 @@
 		w.Map = &m
 	case grcluster.RoutingTableKind:
 		w.Table = TableTo(v.RoutingTable)
+	case grcluster.RateLimitKind:
+		w.RateLimit = rateLimitTo(&v.RateLimit)
 	}
 	return w
 }
@@ -257,6 +260,8 @@
 		v.ShardMap = m
 	case v.Kind == grcluster.RoutingTableKind && w.Table != nil:
 		v.RoutingTable = TableFrom(w.Table)
+	case v.Kind == grcluster.RateLimitKind && w.RateLimit != nil:
+		v.RateLimit = rateLimitFrom(w.RateLimit)
 	default:
 		return item, false
 	}
--- a/protocol/grwire/ratelimit.go
+++ b/protocol/grwire/ratelimit.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"geraniumrouter/coordination/grcluster"
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grratelimit"
 	"geraniumrouter/coordination/grrouter"
@@ -93,6 +94,26 @@
 	return g
 }
 
+// RateLimitWire is the rate limit that a run of a searcher states.
+type RateLimitWire struct {
+	Service   string            `cbor:"1,keyasint,omitempty"`
+	Searcher  string            `cbor:"2,keyasint,omitempty"`
+	Run       uint64            `cbor:"3,keyasint,omitempty"`
+	Statement RateStatementWire `cbor:"4,keyasint,omitempty"`
+}
+
+func rateLimitTo(l *grcluster.RateLimit) *RateLimitWire {
+	return &RateLimitWire{string(l.Service), string(l.Searcher), uint64(l.Incarnation), rateStatementTo(l.Statement, 0)}
+}
+
+func rateLimitFrom(w *RateLimitWire) grcluster.RateLimit {
+	statement, _ := rateStatementFrom(w.Statement)
+	return grcluster.RateLimit{
+		Service: grident.Service(w.Service), Searcher: grident.SearcherID(w.Searcher),
+		Incarnation: grident.Incarnation(w.Run), Statement: statement,
+	}
+}
+
 func rateStatementTo(s grratelimit.Statement, age grclock.Millis) RateStatementWire {
 	return RateStatementWire{Kind: uint8(s.Kind), Rate: float64(s.Rate), AgeMS: int64(age)}
 }
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -75,6 +75,7 @@
 	for i := range sim.config.Shards {
 		in.router.SetService(sim.now, serviceName(i), lists[serviceName(i)], &in.out)
 	}
+	in.learnRateLimits()
 	in.applyOutput()
 }
 
@@ -161,6 +162,9 @@
 	for i := range in.out.RateLimitRequests {
 		in.requestUnits(in.out.RateLimitRequests[i])
 	}
+	for i := range in.out.RateLimitChanges {
+		in.publishRateLimit(&in.out.RateLimitChanges[i])
+	}
 	in.out.Reset()
 	wake := in.router.NextWake()
 	if wake >= grclock.Never || wake >= in.wakeAt && in.wakeAt > sim.now {
--- a/standin/grstandroute/ratelimit.go
+++ b/standin/grstandroute/ratelimit.go
@@ -7,6 +7,7 @@
 	"geraniumrouter/coordination/grratelimit"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grident"
 )
 
 // Bound on the requests that arrive at a searcher with a rate limit, from all instances
@@ -99,3 +100,36 @@
 		in.router.HandleRateLimitGrant(in.sim.now, asks[i].Service, &grant, &in.out)
 	}
 }
+
+// publishedRateLimit is the newest statement that instances published to each other.
+type publishedRateLimit struct {
+	service   grident.Service
+	statement grratelimit.Statement
+}
+
+// maxGossipDelay is the longest time until a published rate limit reaches an instance.
+const maxGossipDelay = grclock.Second
+
+// publishRateLimit informs the other instances of a rate limit that a searcher stated to
+// this one. Each receives it after a delay of its own.
+func (in *instance) publishRateLimit(c *grdispatch.RateLimitChange) {
+	sim := in.sim
+	if c.Learned || sim.published[c.Searcher].statement == c.New {
+		return
+	}
+	sim.published[c.Searcher] = publishedRateLimit{in.router.ServiceName(c.Service), c.New}
+	for _, other := range sim.running() {
+		if other != in {
+			sim.after(grclock.Millis(sim.random.IntN(int(maxGossipDelay))), func() { other.deliver(other.learnRateLimits) })
+		}
+	}
+}
+
+// learnRateLimits passes the published rate limits to the router.
+func (in *instance) learnRateLimits() {
+	for _, s := range in.sim.searchers { // In a fixed order.
+		if l, ok := in.sim.published[s.id]; ok {
+			in.router.LearnRateLimit(in.sim.now, l.service, s.id, 0, l.statement, &in.out)
+		}
+	}
+}
--- a/standin/grstandroute/simulation.go
+++ b/standin/grstandroute/simulation.go
@@ -137,6 +137,7 @@
 	table     *grroutes.Table
 	instances []*instance
 	searchers []*searcher
+	published map[grident.SearcherID]publishedRateLimit // by instances to each other
 	requests  []*request
 	report    Report
 	latencies []grclock.Millis
@@ -146,7 +147,7 @@
 // Run carries out a simulation and returns its results.
 func Run(c Config) Report {
 	c.setDefaults()
-	sim := &simulation{config: c, random: grident.Random{State: c.Seed}}
+	sim := &simulation{config: c, random: grident.Random{State: c.Seed}, published: make(map[grident.SearcherID]publishedRateLimit)}
 	sim.timers.Less = func(a, b *timer) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
 	sim.build()
 	sim.scheduleFaults()
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -62,7 +62,8 @@
 	revisions         []grident.Revision // revision of the last change of each searcher
 	readByAll         bool               // others read these revisions too and need no message
 	seeds             []grident.Address
-	platformReachable *bool // whether the platform answers this instance
+	rateLimit         *grcluster.RateLimit // stated by a searcher to this instance
+	platformReachable *bool                // whether the platform answers this instance
 	inspect           func(c *grcluster.Cluster)
 }
 
@@ -198,6 +199,8 @@
 		c.state.SetRoutingTable(now, e.table, &c.out)
 	case e.searchers != nil:
 		c.state.UpdateSearchersAt(now, e.searchers, e.revisions, e.readByAll, &c.out)
+	case e.rateLimit != nil:
+		c.state.SetRateLimit(now, *e.rateLimit, &c.out)
 	case e.seeds != nil:
 		c.state.AddSeeds(e.seeds)
 	case e.platformReachable != nil:
@@ -259,6 +262,9 @@
 	for _, m := range c.out.ShardMaps {
 		c.node.post(mapUpdated{m})
 	}
+	for i := range c.out.RateLimits {
+		c.node.post(&rateLimitLearned{c.out.RateLimits[i]})
+	}
 	if a := c.out.ActivePreset; a != nil {
 		c.node.Log.Info("preset in force",
 			zap.Uint64("generation", uint64(a.Generation)), zap.String("preset", string(a.Preset.Name)))
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -130,7 +130,7 @@
 		for i := range l.out.RateLimitRequests {
 			l.sendRateLimitRequest(&l.out.RateLimitRequests[i])
 		}
-		l.logRateLimitChanges()
+		l.publishRateLimitChanges()
 		l.out.Reset()
 		if len(l.unsent) == 0 {
 			return
--- a/transport/grnode/rate_limit.go
+++ b/transport/grnode/rate_limit.go
@@ -6,6 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"geraniumrouter/coordination/grcluster"
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/protocol/grwire"
@@ -71,16 +72,29 @@
 	}
 }
 
-// logRateLimitChanges logs each searcher that states another rate limit than before.
-func (l *routerLoop) logRateLimitChanges() {
+// publishRateLimitChanges logs each searcher of which another rate limit is known than
+// before, and informs the other instances of those that it stated to this one.
+func (l *routerLoop) publishRateLimitChanges() {
 	for i := range l.out.RateLimitChanges {
 		c := &l.out.RateLimitChanges[i]
+		if !c.Learned {
+			l.node.controlLoop.post(controlEvent{rateLimit: &grcluster.RateLimit{
+				Service: l.router.ServiceName(c.Service), Searcher: c.Searcher, Incarnation: c.Run, Statement: c.New,
+			}})
+		}
 		l.node.Log.Info("rate limit changed",
 			zap.String("service", string(l.router.ServiceName(c.Service))), zap.String("searcher", string(c.Searcher)),
-			zap.Stringer("old", c.Old), zap.Stringer("new", c.New))
+			zap.Stringer("old", c.Old), zap.Stringer("new", c.New), zap.Bool("learned", c.Learned))
 	}
 }
 
+// rateLimitLearned carries a rate limit that a searcher stated to another instance.
+type rateLimitLearned struct{ grcluster.RateLimit }
+
+func (e *rateLimitLearned) apply(l *routerLoop, now grclock.Millis) {
+	l.router.LearnRateLimit(now, e.Service, e.Searcher, e.Incarnation, e.Statement, &l.out)
+}
+
 // logRateLimitUse logs the use of searchers that state a rate limit, if it changed since
 // the last line.
 func (l *routerLoop) logRateLimitUse(now grclock.Millis) {
--- a/transport/grnode/services.go
+++ b/transport/grnode/services.go
@@ -118,6 +118,11 @@
 		serviceAddresses[s.ID] = addresses[s.ID]
 	}
 	c.node.post(&serviceUpdated{name, list, serviceAddresses})
+	for i := range list {
+		if l, ok := c.state.RateLimitOf(list[i].ID); ok {
+			c.node.post(&rateLimitLearned{l})
+		}
+	}
 }
 
 func searchersFrom(instances []grwire.InstanceWire) []grcluster.SearcherStatus {
