Requests don't wait in vain for searchers whose rate limits others use up

What callers saw: requests to searchers that all state limits waited until their deadline and were rejected only then; callers that came back when told found no room. Cause: (a) a unit went to whoever asked first after it was due, and a requester that was denied came back late, so units were lost and no estimate held; (b) newer requests overtook those past their objective for ever; (c) of searchers without a connection no units were requested, so that their limit looked like room; (d) the estimate of the wait fed on units granted before: with none, all were rejected and nothing was asked. Change: the allocator promises units in the order of asking and tells when they are due; a held back sub-request ends once an answer within its objective is not expected; Retry-After counts those that wait and those told to return before; code rate_limited.

--- a/coordination/grdispatch/conn.go
+++ b/coordination/grdispatch/conn.go
@@ -286,9 +286,11 @@
 }
 
 // openForWaiting opens a connection to the best searcher that lacks only a connection
-// to take the waiting sub-request.
+// to take the waiting sub-request. If all of them lack a unit of their rate limits as well,
+// units are requested first.
 func (d *Dispatcher) openForWaiting(now grclock.Millis, s *pendingRequest, out *Output) {
 	best, bestScore := int32(-1), math.Inf(1)
+	held := heldBackChoice{best: -1, rank: math.Inf(1), score: math.Inf(1)}
 	for i := range d.searchers {
 		r := &d.searchers[i]
 		if !r.usable() || r.conns.opening > 0 || r.conns.total >= d.connLimit(r) || r.conns.retryAt > now || r.inFlight >= int(r.window) {
@@ -297,13 +299,18 @@
 		if !d.allows(s, int32(i)) || d.hasAttempt(s, int32(i)) {
 			continue
 		}
+		score := d.score(now, r, i)
 		if !r.rateLimit.Permits(now) {
+			held.consider(int32(i), score, r.rateLimit.Denied(now))
 			continue
 		}
-		if score := d.score(now, r, i); score < bestScore {
+		if score < bestScore {
 			best, bestScore = int32(i), score
 		}
 	}
+	if best < 0 && held.best >= 0 {
+		d.holdBack(now, s, held.best, true, out)
+	}
 	if best >= 0 {
 		d.openConn(best, out)
 	}
--- a/coordination/grdispatch/dispatch.go
+++ b/coordination/grdispatch/dispatch.go
@@ -35,6 +35,10 @@
 			d.deferred = append(d.deferred, d.queue.Pop())
 			continue
 		}
+		if d.heldBackTooLong(now, s) {
+			d.finish(now, index, d.doneKind(s, NotStarted), out)
+			continue
+		}
 		if d.demoteLate(now, index) {
 			continue
 		}
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -42,7 +42,7 @@
 	MaxAttempts      int            // attempts, including the first; 0: by the policy
 	Credit           BudgetCredit   // credit to the budgets for hedges and retries
 	HoldFrom         grclock.Millis // from this time on nothing is sent until EndHold; 0: no hold
-	UsefulUntil      grclock.Millis // until then an answer is of full use, and none is awaited if rate limits permit no attempt before; 0 or past: the deadline
+	UsefulUntil      grclock.Millis // it ends if rate limits permit no attempt until then; 0: the deadline
 
 	OnlySearcher     grident.SearcherTag // the only searcher it may be sent to; 0: any
 	ReservedSearcher grident.SearcherTag // searcher that another instance may send it to; 0: none
@@ -180,6 +180,7 @@
 	deferred        []int32            // sub-requests skipped during a dispatch, for lack of a searcher or on hold
 	queue           grheap.Heap[int32] // waiting sub-requests in dispatch order
 	inFlight        attemptRing        // sent attempts, oldest first
+	returns         []grclock.Millis   // when callers return that rate limits rejected, soonest first
 	latency         grstat.Quantile
 	typicalLatency  grstat.EWMA // latency of answered attempts
 	answerInterval  grstat.EWMA // time between two answers while sub-requests wait
@@ -310,7 +311,7 @@
 	if n := d.queue.Len(); n > 0 {
 		queued = float64(n) * d.answerInterval.Value(0)
 	}
-	return grclock.Millis(latency + max(queued, float64(d.RateLimitWait(now, d.queue.Len()))))
+	return grclock.Millis(latency + max(queued, float64(d.RateLimitWait(now))))
 }
 
 func (d *Dispatcher) wakeAt(t grclock.Millis) {
--- a/coordination/grdispatch/ratelimit.go
+++ b/coordination/grdispatch/ratelimit.go
@@ -1,6 +1,8 @@
 package grdispatch
 
 import (
+	"slices"
+
 	"geraniumrouter/coordination/grratelimit"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
@@ -131,6 +133,9 @@
 		d.Counters.RateLimited++
 	}
 	s.heldBack = true
+	if s.UsefulUntil > now {
+		d.wakeAt(s.UsefulUntil)
+	}
 	d.askForUnits(now, searcher, waiting, out)
 }
 
@@ -210,34 +215,74 @@
 	return nil
 }
 
-// RateLimitWait returns the expected time until a sub-request that is sent after the given
-// number of others can be sent within the rate limits of the searchers; 0 if some searcher
-// has no limit.
-func (d *Dispatcher) RateLimitWait(now grclock.Millis, ahead int) grclock.Millis {
-	return d.rateLimitWait(now, ahead, func(int32) bool { return true })
+// RateLimitWait returns the expected time until a sub-request that is submitted now can be
+// sent within the rate limits of the searchers, after those that wait and those with which
+// rejected callers return before; 0 if some searcher has no limit.
+func (d *Dispatcher) RateLimitWait(now grclock.Millis) grclock.Millis {
+	for len(d.returns) > 0 && d.returns[0] <= now {
+		d.returns = d.returns[1:]
+	}
+	units := d.expectedUnits(now, func(int32) bool { return true })
+	wait := units.skip(d.queue.Len())
+	for returning := 0; returning < len(d.returns) && d.returns[returning] <= now+wait; returning++ {
+		wait = units.skip(0)
+	}
+	return wait
+}
+
+// ReserveReturn returns RateLimitWait for a caller that is rejected and told to return
+// after it, and lets later ones wait behind that caller.
+func (d *Dispatcher) ReserveReturn(now grclock.Millis) grclock.Millis {
+	wait := d.RateLimitWait(now)
+	if wait > 0 && len(d.returns) < d.Policy.MaxQueue {
+		at, _ := slices.BinarySearch(d.returns, now+wait)
+		d.returns = slices.Insert(d.returns, at, now+wait)
+	}
+	return wait
+}
+
+// expectedUnits tells when units of the rate limits of some searchers are expected, soonest
+// first. It is empty if some of them has no limit, or there are none.
+type expectedUnits struct {
+	now      grclock.Millis
+	limits   []*searcherRateLimit
+	consumed []int // units of each that were skipped
 }
 
-// rateLimitWait is RateLimitWait over the searchers that a sub-request may be sent to.
-func (d *Dispatcher) rateLimitWait(now grclock.Millis, ahead int, allowed func(searcher int32) bool) grclock.Millis {
-	limited := 0
+// expectedUnits returns the units of the searchers that are allowed.
+func (d *Dispatcher) expectedUnits(now grclock.Millis, allowed func(searcher int32) bool) expectedUnits {
+	units := expectedUnits{now: now}
 	for i := range d.searchers {
-		if r := &d.searchers[i]; r.usable() && allowed(int32(i)) {
-			if !r.rateLimit.Limited() {
-				return 0
-			}
-			limited++
+		r := &d.searchers[i]
+		if !r.usable() || !allowed(int32(i)) {
+			continue
 		}
+		if !r.rateLimit.Limited() {
+			return expectedUnits{}
+		}
+		units.limits = append(units.limits, &r.rateLimit)
 	}
-	if limited == 0 {
-		return 0
-	}
-	shortest := grclock.Never
-	for i := range d.searchers {
-		if r := &d.searchers[i]; r.usable() && allowed(int32(i)) {
-			shortest = min(shortest, r.rateLimit.Wait(now, ahead/limited))
+	units.consumed = make([]int, len(units.limits))
+	return units
+}
+
+// skip skips a number of units and takes the next one. It returns the expected time until
+// then, or 0 if there are no limits.
+func (u *expectedUnits) skip(n int) grclock.Millis {
+	wait := grclock.Millis(0)
+	for range n + 1 {
+		best := -1
+		for i, limit := range u.limits {
+			if next := limit.Wait(u.now, u.consumed[i]); best < 0 || next < wait {
+				best, wait = i, next
+			}
 		}
+		if best < 0 {
+			return 0
+		}
+		u.consumed[best]++
 	}
-	return shortest
+	return wait
 }
 
 // unservable reports whether no unit of a rate limit is expected in time for the waiting
@@ -247,11 +292,28 @@
 		return false
 	}
 	usefulUntil := s.Deadline
-	if s.UsefulUntil > now {
-		usefulUntil = s.UsefulUntil
+	if s.UsefulUntil > 0 {
+		usefulUntil = max(s.UsefulUntil, now)
+	}
+	units := d.expectedUnits(now, func(searcher int32) bool { return d.allows(s, searcher) })
+	return now+units.skip(ahead) > usefulUntil
+}
+
+// heldBackTooLong reports whether rate limits kept the sub-request waiting until an answer
+// was no longer of full use. Behind newer ones it would hardly get a unit.
+func (d *Dispatcher) heldBackTooLong(now grclock.Millis, s *pendingRequest) bool {
+	return s.heldBack && s.active == 0 && s.UsefulUntil > 0 && now >= s.UsefulUntil && d.allLimited(s)
+}
+
+// allLimited reports whether each searcher that the sub-request may be sent to states a
+// rate limit.
+func (d *Dispatcher) allLimited(s *pendingRequest) bool {
+	for i := range d.searchers {
+		if r := &d.searchers[i]; r.usable() && d.allows(s, int32(i)) && !r.rateLimit.Limited() {
+			return false
+		}
 	}
-	wait := d.rateLimitWait(now, ahead, func(searcher int32) bool { return d.allows(s, searcher) })
-	return now+wait > usefulUntil
+	return true
 }
 
 // endIfUnservable ends a sub-request that has just joined the queue if no unit of a rate
--- a/coordination/grratelimit/allocator.go
+++ b/coordination/grratelimit/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
@@ -19,24 +20,34 @@
 // answer that ends the limit.
 const probeRate Rate = 0.1
 
-// waitingTime is how long a requester that got too few units counts as waiting.
-const waitingTime = 2 * maxAskInterval
+// promiseTime is how long a promised unit is kept for the requester after it was due.
+const promiseTime = 3 * minAskInterval
 
-// Allocator hands out the units of one upstream's rate limit to all instances. OpensAt is
-// set before use.
+// Allocator hands out the units of one upstream's rate limit to all instances. A requester
+// that gets too few units is promised the next one that nobody else was promised. OpensAt
+// is set before use.
 type Allocator struct {
 	OpensAt grclock.Millis // before it nothing is granted
 
 	record     Record
 	units      float64
 	refilledAt grclock.Millis
-	waiting    map[grident.InstanceID]grclock.Millis // when requesters last got too few units
+	promises   []promise // at most one for each requester
 	usedAt     grclock.Millis
 }
 
+// promise is a unit that is kept for a requester.
+type promise struct {
+	to  grident.InstanceID
+	due grclock.Millis
+}
+
 // Grant answers a request for units. share is the fraction of the limit that may be
 // granted; the rest is left to instances that cannot be reached.
 func (l *Allocator) Grant(now grclock.Millis, from grident.InstanceID, request Request, share float64) Grant {
+	if l.usedAt == 0 {
+		l.refilledAt = max(now, l.OpensAt)
+	}
 	l.usedAt = now
 	l.record.Update(now, request.Statement, request.Age)
 	grant := Grant{Statement: l.record.Statement(), Age: l.record.Age(now)}
@@ -45,40 +56,51 @@
 	}
 	rate := max(l.record.Statement().Rate, probeRate) * Rate(share)
 	l.refill(now, rate)
-	if now >= l.OpensAt {
-		grant.Units = int(min(float64(max(request.Wanted, 0)), l.units))
-		l.units -= float64(grant.Units)
+	l.promises = slices.DeleteFunc(l.promises, func(p promise) bool { return p.due+promiseTime < now })
+	free := max(l.units-float64(l.keptForOthers(now, from)), 0)
+	grant.Units = int(min(float64(max(request.Wanted, 0)), free))
+	l.units -= float64(grant.Units)
+	if grant.Units > 0 {
+		l.promises = slices.DeleteFunc(l.promises, func(p promise) bool { return p.to == from })
 	}
-	delete(l.waiting, from)
+	grant.Interval = grclock.Millis(math.Ceil(rate.interval() * float64(1+len(l.promises))))
 	if grant.Units < request.Wanted {
-		grant.NextUnit = l.nextUnit(now, rate)
-		l.waiting[from] = now
+		grant.NextUnit = l.promise(now, from, rate)
 	}
 	return grant
 }
 
-// refill adds the units for the elapsed time, up to those of batchTime, or one.
+// refill adds the units for the elapsed time, up to those of batchTime and one more, for
+// requesters that come late.
 func (l *Allocator) refill(now grclock.Millis, rate Rate) {
-	if l.waiting == nil {
-		l.waiting = make(map[grident.InstanceID]grclock.Millis)
-		l.refilledAt = max(now, l.OpensAt)
-	}
 	elapsed := max(now-l.refilledAt, 0)
-	l.units = min(l.units+rate.per(elapsed), max(1, rate.per(batchTime)))
+	l.units = min(l.units+rate.per(elapsed), 1+max(1, rate.per(batchTime)))
 	l.refilledAt += elapsed
 }
 
-// nextUnit returns the expected time until a further requester gets a unit: half of
-// those that wait get one before.
-func (l *Allocator) nextUnit(now grclock.Millis, rate Rate) grclock.Millis {
-	for id, at := range l.waiting {
-		if now-at > waitingTime {
-			delete(l.waiting, id)
+// keptForOthers returns the number of units that are kept for other requesters at present.
+func (l *Allocator) keptForOthers(now grclock.Millis, from grident.InstanceID) int {
+	n := 0
+	for _, p := range l.promises {
+		if p.to != from && p.due <= now {
+			n++
+		}
+	}
+	return n
+}
+
+// promise promises the requester the next unit that nobody was promised, unless it has been
+// promised one before. It returns the time until the unit is due.
+func (l *Allocator) promise(now grclock.Millis, to grident.InstanceID, rate Rate) grclock.Millis {
+	for _, p := range l.promises {
+		if p.to == to {
+			return max(p.due-now, 1)
 		}
 	}
-	missing := max(1-l.units, 0) + float64(len(l.waiting))/2
-	opening := max(l.OpensAt-now, 0)
-	return opening + grclock.Millis(math.Ceil(rate.interval()*missing))
+	missing := max(float64(1+len(l.promises))-l.units, 0)
+	wait := max(l.OpensAt-now, 0) + max(grclock.Millis(math.Ceil(rate.interval()*missing)), 1)
+	l.promises = append(l.promises, promise{to, now + wait})
+	return wait
 }
 
 // Idle returns the time since the last request.
--- a/coordination/grratelimit/allowance.go
+++ b/coordination/grratelimit/allowance.go
@@ -16,6 +16,7 @@
 	demandHalfLife = 300 * grclock.Millisecond // of the estimated demand
 	minAskInterval = 50 * grclock.Millisecond  // between an answer with too few units and the next request
 	maxAskInterval = grclock.Second            // the limit may have changed by then
+	grantHalfLife  = 4 * grclock.Second        // of the estimated rate of granted units
 	answerTimeout  = 500 * grclock.Millisecond // from a request without an answer to the next one
 )
 
@@ -30,6 +31,7 @@
 type Grant struct {
 	Units     int
 	NextUnit  grclock.Millis // expected time until the requester can get a further unit
+	Interval  grclock.Millis // expected time between its units after that
 	Statement Statement      // newest known to the allocator
 	Age       grclock.Millis
 	Refused   bool // the instance does not allocate the limit of this upstream
@@ -46,6 +48,7 @@
 	askedAt    grclock.Millis
 	askAgainAt grclock.Millis
 	nextUnitAt grclock.Millis // expected time of the next unit
+	interval   grclock.Millis // expected time between units after that
 }
 
 // lease is a number of units that were granted together.
@@ -163,10 +166,10 @@
 	changed = a.update(askedAt, g.Statement, g.Age)
 	if g.Units > 0 {
 		a.leases = append(a.leases, lease{g.Units, askedAt + LeaseTime})
-		a.granted.HalfLife = LeaseTime
+		a.granted.HalfLife = grantHalfLife
 		a.granted.Add(now, g.Units)
 	}
-	a.askAgainAt, a.nextUnitAt = now, now+g.NextUnit
+	a.askAgainAt, a.nextUnitAt, a.interval = now, now+g.NextUnit, g.Interval
 	if g.NextUnit > 0 {
 		a.askAgainAt = now + min(max(g.NextUnit, minAskInterval), maxAskInterval)
 	}
@@ -182,18 +185,14 @@
 }
 
 // Wait returns the expected time until a unit is left for a request that is sent after
-// the given number of others, or 0 if that is not known.
+// the given number of others. Once the next unit is due, it is 0 for the first request, so
+// that units are requested again.
 func (a *Allowance) Wait(now grclock.Millis, ahead int) grclock.Millis {
 	left := a.Units(now)
 	if !a.Limited() || ahead < left {
 		return 0
 	}
-	next := max(a.nextUnitAt-now, 0)
-	perSecond := a.GrantedPerSecond(now)
-	if perSecond == 0 {
-		return next
-	}
-	return next + grclock.Millis(Rate(perSecond).interval()*float64(ahead-left))
+	return max(a.nextUnitAt-now, 0) + a.interval*grclock.Millis(ahead-left)
 }
 
 // GrantedPerSecond returns the recent rate of units that were granted.
--- a/coordination/grratelimit/example_test.go
+++ b/coordination/grratelimit/example_test.go
@@ -24,5 +24,5 @@
 		}
 	}
 	fmt.Println(sent, "requests in 5 s")
-	// Output: 9 requests in 5 s
+	// Output: 8 requests in 5 s
 }
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -209,7 +209,7 @@
 			s.ReservedSearcher = q.route.reservedSearcher(key.Shard)
 		}
 		remaining := max(route.LatencyObjective-q.route.elapsedBeforeArrival, route.LatencyObjective/2) // A late request does not justify spending budget on ever earlier hedges.
-		if route.FanOut {
+		if q.route.partialDeadline > q.startedAt {
 			s.UsefulUntil = q.route.partialDeadline
 		}
 		s.HedgeDelay = max(r.RoutePolicy.HedgeMin, grclock.Millis(ratio*float64(remaining)))
--- a/coordination/grrouter/ratelimit.go
+++ b/coordination/grrouter/ratelimit.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"geraniumrouter/coordination/gradmission"
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grratelimit"
 	"geraniumrouter/state/grclock"
@@ -207,8 +208,18 @@
 	r.collect(now, dispatcher, out)
 }
 
-// rateLimitWait returns the expected time until rate limits permit enough shards of the
-// request to be sent for an answer.
-func (r *Router) rateLimitWait(now grclock.Millis, q *query) grclock.Millis {
-	return r.requiredWait(q, func(d *grdispatch.Dispatcher) grclock.Millis { return d.RateLimitWait(now, d.QueueLen()) })
+// rateLimited reports whether the rate limits of the searchers permit no answer within the
+// latency objective or, if that has passed already, so late that hardly any time is left.
+func (r *Router) rateLimited(now grclock.Millis, q *query) bool {
+	wait := r.requiredWait(q, func(d *grdispatch.Dispatcher) grclock.Millis { return d.RateLimitWait(now) })
+	usefulUntil := q.deadline
+	if q.route.partialDeadline > now {
+		usefulUntil = q.route.partialDeadline
+	}
+	return float64(wait) > gradmission.MaxWaitRatio*float64(usefulUntil-now)
+}
+
+// heldBack reports whether a rate limit kept some shard of the request from a searcher.
+func (rs *routeState) heldBack() bool {
+	return slices.ContainsFunc(rs.failures, func(f shardFailure) bool { return f.history.RateLimited })
 }
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -209,7 +209,7 @@
 	if q.route.isGroup && now >= q.route.partialDeadline {
 		return grerror.DeadlineTooShort // The requesting instance has bypassed this one by now.
 	}
-	if !q.route.isGroup && q.route.route.FanOut && now+r.rateLimitWait(now, q) > max(q.route.partialDeadline, now) {
+	if !q.route.isGroup && r.rateLimited(now, q) {
 		return grerror.RateLimited
 	}
 	wait := grclock.Millis(0)
@@ -225,6 +225,9 @@
 	r.Counters.Rejected++
 	result := Result{ID: q.id, Outcome: NotRun, Code: code, Generation: q.generation, ShardsRequested: len(q.dispatchers)}
 	result.RetryAfter = r.retryAfter(now, q)
+	if len(q.dispatchers) == 1 {
+		result.RetryAfter = max(result.RetryAfter, r.dispatchers[q.dispatchers[0]].ReserveReturn(now))
+	}
 	out.Results = append(out.Results, result)
 	r.freeQueries = append(r.freeQueries, q)
 }
@@ -385,6 +388,9 @@
 		}
 	default:
 		result.Outcome, result.Code = NotRun, grerror.NoSearcher
+		if rs.heldBack() {
+			result.Code = grerror.RateLimited
+		}
 		result.RetryAfter = r.retryAfter(now, q)
 	}
 }
--- a/protocol/grwire/ratelimit.go
+++ b/protocol/grwire/ratelimit.go
@@ -47,6 +47,7 @@
 	NextUnitMS int64             `cbor:"2,keyasint,omitempty"` // expected time until a further unit
 	Statement  RateStatementWire `cbor:"3,keyasint,omitempty"`
 	Refused    bool              `cbor:"4,keyasint,omitempty"` // another instance allocates this limit
+	IntervalMS int64             `cbor:"5,keyasint,omitempty"` // expected time between units after that
 }
 
 // RateLimitRequestTo converts requests for units to their wire form.
@@ -81,7 +82,8 @@
 	var w RateLimitAnswer
 	for _, g := range grants {
 		w.Grants = append(w.Grants, RateLimitGrantWire{
-			Units: g.Units, NextUnitMS: int64(g.NextUnit), Statement: rateStatementTo(g.Statement, g.Age), Refused: g.Refused,
+			Units: g.Units, NextUnitMS: int64(g.NextUnit), IntervalMS: int64(g.Interval),
+			Statement: rateStatementTo(g.Statement, g.Age), Refused: g.Refused,
 		})
 	}
 	return w
@@ -89,7 +91,9 @@
 
 // RateLimitGrantFrom converts a grant from its wire form.
 func RateLimitGrantFrom(w *RateLimitGrantWire) grratelimit.Grant {
-	g := grratelimit.Grant{Units: w.Units, NextUnit: grclock.Millis(w.NextUnitMS), Refused: w.Refused}
+	g := grratelimit.Grant{
+		Units: w.Units, NextUnit: grclock.Millis(w.NextUnitMS), Interval: grclock.Millis(w.IntervalMS), Refused: w.Refused,
+	}
 	g.Statement, g.Age = rateStatementFrom(w.Statement)
 	return g
 }
--- a/standin/grstandroute/ratelimit_test.go
+++ b/standin/grstandroute/ratelimit_test.go
@@ -82,3 +82,28 @@
 		}
 	}
 }
+
+// TestLimitedRequestsWaitInVain guards against requests that wait until their deadline for searchers whose rate limits others
+// use up, against callers that return after the stated time in vain, and against limits that stay unused meanwhile.
+func TestLimitedRequestsWaitInVain(t *testing.T) {
+	for _, c := range []struct {
+		instances int
+		interval  grclock.Millis
+		perSecond float64
+	}{{1, 100, 3}, {5, 100, 3}, {5, 50, 6}, {30, 100, 3}, {30, 100, 1}} {
+		report := Run(Config{
+			Seed: 9, Instances: c.instances, Interval: c.interval, OnlyOnce: true, CallersReturn: true, Duration: 40 * grclock.Second,
+			RateLimits: []RateLimit{{From: 4 * grclock.Second, Until: 40 * grclock.Second, PerSecond: c.perSecond, Shards: 1, Searchers: 2}},
+		})
+		t.Logf("%+v", report)
+		if timeout := 15 * grclock.Millis(100); report.SlowestNotRun > timeout/2 {
+			t.Errorf("%+v: rejected after up to %d ms of %d", c, report.SlowestNotRun, timeout)
+		}
+		if 2*report.ReturnServed < report.Returned {
+			t.Errorf("%+v: %d of %d returning callers served", c, report.ReturnServed, report.Returned)
+		}
+		if units := 2 * c.perSecond * 32; float64(report.Limited) < 0.8*units {
+			t.Errorf("%+v: %d attempts of %.0f that the limits allow", c, report.Limited, units)
+		}
+	}
+}
--- a/standin/grstandroute/request.go
+++ b/standin/grstandroute/request.go
@@ -17,6 +17,8 @@
 	route      *grroutes.Route
 	elapsed    grclock.Millis // time from then until the caller sent it
 	received   bool           // an instance has received it
+	instance   *instance      // that its caller sent it to
+	returned   bool           // its caller returned with it after a rejection
 	outcome    outcome
 	attempts   map[grident.Service]int         // attempts that reached searchers
 	ranOn      map[grident.Service][]*searcher // searchers that ran it, once for each run
@@ -58,10 +60,17 @@
 	case grrouter.Complete, grrouter.Partial:
 		sim.checkAnswer(req, &result)
 		sim.endRequest(req, answered)
+		if req.returned {
+			sim.report.ReturnServed++
+		}
 		sim.countAnswer(req, float64(len(result.PartialResults))/float64(result.ShardsRequested))
 	case grrouter.NotRun:
 		sim.report.NotRun++
+		sim.report.SlowestNotRun = max(sim.report.SlowestNotRun, sim.now-req.at-req.elapsed)
 		sim.endRequest(req, notRun)
+		if sim.config.CallersReturn && !req.returned {
+			sim.after(result.RetryAfter, func() { sim.returnCaller(req) })
+		}
 		if len(req.ranOn) > 0 {
 			sim.reportViolation("request %d ran although the caller was told that it did not", req.number)
 		}
@@ -90,6 +99,17 @@
 	}
 }
 
+// returnCaller sends the request of a caller again that was told that it did not run.
+func (sim *simulation) returnCaller(rejected *request) {
+	if rejected.instance.killed {
+		return
+	}
+	sim.report.Returned++
+	req := sim.newRequest(rejected.instance, rejected.route)
+	req.returned = true
+	sim.after(callerOneWay, func() { req.instance.deliver(func() { req.instance.handleRequest(req) }) })
+}
+
 // checkAnswer checks that the partial results belong to this request, come from
 // different shards and cover the share of shards that the route requires.
 func (sim *simulation) checkAnswer(req *request, result *grrouter.Result) {
