--- a/coordination/grdispatch/ratelimit.go
+++ b/coordination/grdispatch/rate_limit.go
@@ -172,12 +172,11 @@
 	if r == nil {
 		return
 	}
-	if g.Failed {
-		r.rateLimit.Failed(now)
-		return
-	}
 	old := r.rateLimit.Record().Statement()
-	if r.rateLimit.Granted(now, g.AskedAt, g.Grant) {
+	switch {
+	case g.Failed:
+		r.rateLimit.Failed(now)
+	case r.rateLimit.Granted(now, g.AskedAt, g.Grant):
 		reportRateLimit(r, old, true, out)
 	}
 	d.dispatch(now, out)
@@ -222,7 +221,8 @@
 	for len(d.returns) > 0 && d.returns[0] <= now {
 		d.returns = d.returns[1:]
 	}
-	units := d.expectedUnits(now, func(int32) bool { return true })
+	everySearcher := func(int32) bool { return true }
+	units := d.expectedUnits(now, everySearcher)
 	wait := units.skip(d.queue.Len())
 	for returning := 0; returning < len(d.returns) && d.returns[returning] <= now+wait; returning++ {
 		wait = units.skip(0)
--- a/coordination/grratelimit/allowance.go
+++ b/coordination/grratelimit/allowance.go
@@ -120,8 +120,7 @@
 // Want records that one more request is for this upstream, whether or not a unit is left
 // for it.
 func (a *Allowance) Want(now grclock.Millis) {
-	a.demand.HalfLife = demandHalfLife
-	a.demand.Add(now, 1)
+	a.demand.Add(now, 1, demandHalfLife)
 }
 
 // Ask returns a request for units, if one is due. With waiting set, a request that only
@@ -131,8 +130,7 @@
 	if !a.Limited() || now < a.AskAt() {
 		return Request{}, false
 	}
-	a.demand.HalfLife = demandHalfLife
-	demand := Rate(a.demand.PerSecond(now))
+	demand := Rate(a.demand.PerSecond(now, demandHalfLife))
 	wanted := max(1, int(math.Ceil(demand.per(batchTime))))
 	if !waiting && (2*a.Units(now) > wanted || demand.per(LeaseTime) < 1) {
 		return Request{}, false
@@ -166,8 +164,7 @@
 	changed = a.update(askedAt, g.Statement, g.Age)
 	if g.Units > 0 {
 		a.leases = append(a.leases, lease{g.Units, askedAt + LeaseTime})
-		a.granted.HalfLife = grantHalfLife
-		a.granted.Add(now, g.Units)
+		a.granted.Add(now, g.Units, grantHalfLife)
 	}
 	a.askAgainAt, a.nextUnitAt, a.interval = now, now+g.NextUnit, g.Interval
 	if g.NextUnit > 0 {
@@ -197,8 +194,5 @@
 
 // GrantedPerSecond returns the recent rate of units that were granted.
 func (a *Allowance) GrantedPerSecond(now grclock.Millis) float64 {
-	if a.granted.HalfLife == 0 {
-		return 0
-	}
-	return a.granted.PerSecond(now)
+	return a.granted.PerSecond(now, grantHalfLife)
 }
--- a/coordination/grrouter/ratelimit.go
+++ b/coordination/grrouter/rate_limit.go
@@ -211,6 +211,9 @@
 // rateLimited reports whether the rate limits of the searchers permit no answer within the
 // latency objective or, if that has passed already, so late that hardly any time is left.
 func (r *Router) rateLimited(now grclock.Millis, q *query) bool {
+	if r.readyShards(now, q) >= q.route.requiredParts() {
+		return false
+	}
 	wait := r.requiredWait(q, func(d *grdispatch.Dispatcher) grclock.Millis { return d.RateLimitWait(now) })
 	usefulUntil := q.deadline
 	if q.route.partialDeadline > now {
@@ -219,6 +222,17 @@
 	return float64(wait) > gradmission.MaxWaitRatio*float64(usefulUntil-now)
 }
 
+// readyShards returns the number of shards of the request that no rate limit delays.
+func (r *Router) readyShards(now grclock.Millis, q *query) int {
+	n := 0
+	for _, dispatcher := range q.dispatchers {
+		if r.dispatchers[dispatcher].RateLimitWait(now) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // heldBack reports whether a rate limit kept some shard of the request from a searcher.
 func (rs *routeState) heldBack() bool {
 	return slices.ContainsFunc(rs.failures, func(f shardFailure) bool { return f.history.RateLimited })
--- a/coordination/grstat/event_rate.go
+++ b/coordination/grstat/event_rate.go
@@ -7,24 +7,23 @@
 )
 
 // EventRate estimates the rate of recent events: their count decays by half in each
-// HalfLife, which must be set.
+// half-life, which must be the same in all calls. The zero value has seen none.
 type EventRate struct {
-	HalfLife grclock.Millis
-	count    float64
-	at       grclock.Millis // of the last change of count
+	count float64
+	at    grclock.Millis // of the last change of count
 }
 
 // Add records n events.
-func (e *EventRate) Add(now grclock.Millis, n int) {
-	e.count = e.decayed(now) + float64(n)
+func (e *EventRate) Add(now grclock.Millis, n int, halfLife grclock.Millis) {
+	e.count = e.decayed(now, halfLife) + float64(n)
 	e.at = now
 }
 
 // PerSecond returns the number of events per second.
-func (e *EventRate) PerSecond(now grclock.Millis) float64 {
-	return e.decayed(now) * math.Ln2 * float64(grclock.Second) / float64(e.HalfLife)
+func (e *EventRate) PerSecond(now, halfLife grclock.Millis) float64 {
+	return e.decayed(now, halfLife) * math.Ln2 * float64(grclock.Second) / float64(halfLife)
 }
 
-func (e *EventRate) decayed(now grclock.Millis) float64 {
-	return e.count * math.Exp2(-float64(now-e.at)/float64(e.HalfLife))
+func (e *EventRate) decayed(now, halfLife grclock.Millis) float64 {
+	return e.count * math.Exp2(-float64(now-e.at)/float64(halfLife))
 }
