Don't hold places for rejected callers that can't come back so late

What callers saw: with all searchers of a service limited or down, Retry-After of up to 10 s, though the limits gave 10 requests a second for a demand of 22. Cause: each rejected caller was counted ahead of later ones until the time it was told, also where it observes no more than a third of its time and had come, or given up, before. Change: a place is held only if the caller waits for so long; the adapter knows how long.

--- a/coordination/grdispatch/rate_limit.go
+++ b/coordination/grdispatch/rate_limit.go
@@ -231,10 +231,10 @@
 }
 
 // ReserveReturn returns RateLimitWait for a caller that is rejected and told to return
-// after it, and lets later ones wait behind that caller.
-func (d *Dispatcher) ReserveReturn(now grclock.Millis) grclock.Millis {
+// after it. If the caller waits for so long, later ones wait behind it.
+func (d *Dispatcher) ReserveReturn(now, longestWait grclock.Millis) grclock.Millis {
 	wait := d.RateLimitWait(now)
-	if wait > 0 && len(d.returns) < d.Policy.MaxQueue {
+	if wait > 0 && wait <= longestWait && len(d.returns) < d.Policy.MaxQueue {
 		at, _ := slices.BinarySearch(d.returns, now+wait)
 		d.returns = slices.Insert(d.returns, at, now+wait)
 	}
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -19,6 +19,7 @@
 	Services            []grident.Service     // the shards to request, all of one target; empty: the target chosen by traffic split
 	Deadline            grclock.Millis        // of the caller
 	Remaining           grclock.Millis        // remaining time of the caller's timeout when it sent the request; 0: not known
+	LongestReturn       grclock.Millis        // longest retry-after time that the caller observes if it is rejected; 0: until its deadline
 	ResponseDelay       grclock.Millis        // recent delay between the end of a request and the write to the caller's connection
 	ElapsedSinceArrival grclock.Millis        // time from the arrival of the request at this instance to StartRoute
 	IsGroup             bool                  // the shards are a group that a peer delegated; their partial results are due at PartialDeadline
@@ -68,6 +69,7 @@
 	failure              *granswer.Answer
 	partialDeadline      grclock.Millis
 	remaining            grclock.Millis // remaining time of the caller's timeout when it sent the request
+	longestReturn        grclock.Millis // longest retry-after time that the caller observes; 0: until its deadline
 	elapsedBeforeArrival grclock.Millis // estimated part of the latency objective that passed before the caller sent the request
 	failedShards         int            // shards that ended without a partial result
 	failures             []shardFailure // the first maxMissingReported of them, for logs
@@ -161,7 +163,7 @@
 	if len(rs.services) == 0 {
 		rs.services = req.Route.Targets[r.targetPickerOf(req).next(req.Route.Targets)].Services
 	}
-	rs.isGroup, rs.reserved = req.IsGroup, req.Reserved
+	rs.isGroup, rs.reserved, rs.longestReturn = req.IsGroup, req.Reserved, req.LongestReturn
 	typical := r.typicalRemainingOf(req.Route.Name)
 	if req.Remaining > 0 {
 		typical.Add(req.Remaining)
@@ -226,7 +228,11 @@
 	result := Result{ID: q.id, Outcome: NotRun, Code: code, Generation: q.generation, ShardsRequested: len(q.dispatchers)}
 	result.RetryAfter = r.retryAfter(now, q)
 	if len(q.dispatchers) == 1 {
-		result.RetryAfter = max(result.RetryAfter, r.dispatchers[q.dispatchers[0]].ReserveReturn(now))
+		longest := q.route.longestReturn
+		if longest == 0 {
+			longest = q.deadline - now
+		}
+		result.RetryAfter = max(result.RetryAfter, r.dispatchers[q.dispatchers[0]].ReserveReturn(now, longest))
 	}
 	out.Results = append(out.Results, result)
 	r.freeQueries = append(r.freeQueries, q)
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -126,6 +126,9 @@
 	if !in.sim.config.NoRemainingTime {
 		routeReq.Remaining = req.route.Timeout - req.elapsed
 	}
+	if in.sim.config.CallersReturn {
+		routeReq.LongestReturn = grclock.Minute
+	}
 	req.received = true
 	in.requests[in.router.StartRoute(in.sim.now, routeReq, &in.out)] = req
 }
--- a/standin/grstandroute/simulation.go
+++ b/standin/grstandroute/simulation.go
@@ -59,7 +59,7 @@
 	ReplyTimeUnknown bool           // routers do not take ReplyTime into account
 	RateLimits       []RateLimit    // rate limits that searchers state
 	OnlyOnce         bool           // all requests are for one service, and not idempotent
-	CallersReturn    bool           // a caller that is told that its request did not run returns once, after the stated time
+	CallersReturn    bool           // a caller that is told that its request did not run returns once, after the stated time, however long
 	Bug              Bug
 }
 
