--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,7 +27,8 @@
 type scenario func(r *recorder, trouble bool) (int, error)
 
 var scenarios = map[string]scenario{
-	"late-refusal": lateRefusal,
+	"late-refusal":            lateRefusal,
+	"restart-during-scale-in": restartDuringScaleIn,
 }
 
 func main() { os.Exit(run()) }
