--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 
 var scenarios = map[string]scenario{
 	"late-refusal":            lateRefusal,
+	"clients-leave":           clientsLeave,
 	"restart-during-scale-in": restartDuringScaleIn,
 }
 
