--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -151,12 +151,13 @@
 	Done             []Done
 	RateLimitChanges []RateLimitChange
 	RateLimitAsks    []RateLimitAsk
+	Resends          []Resend
 }
 
 // Reset empties the lists and keeps their memory.
 func (o *Output) Reset() {
 	o.Actions, o.Done = o.Actions[:0], o.Done[:0]
-	o.RateLimitChanges, o.RateLimitAsks = o.RateLimitChanges[:0], o.RateLimitAsks[:0]
+	o.RateLimitChanges, o.RateLimitAsks, o.Resends = o.RateLimitChanges[:0], o.RateLimitAsks[:0], o.Resends[:0]
 }
 
 // Dispatcher dispatches the sub-requests of one service. Set the exported fields and
--- a/coordination/grdispatch/reply.go
+++ b/coordination/grdispatch/reply.go
@@ -98,6 +98,7 @@
 		d.finish(now, index, d.doneKind(s, NotStarted), out)
 		return
 	}
+	d.reportResend(now, s, ended, reply.Kind, out)
 	d.enqueue(index)
 }
 
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -88,13 +88,14 @@
 	Delegations       []Delegation
 	RateLimitChanges  []grdispatch.RateLimitChange
 	RateLimitRequests []RateLimitRequest
+	Resends           []grdispatch.Resend
 	dispatcher        grdispatch.Output
 }
 
 // Reset empties the lists and keeps their memory.
 func (o *Output) Reset() {
 	o.Actions, o.Results, o.Delegations = o.Actions[:0], o.Results[:0], o.Delegations[:0]
-	o.RateLimitChanges, o.RateLimitRequests = o.RateLimitChanges[:0], o.RateLimitRequests[:0]
+	o.RateLimitChanges, o.RateLimitRequests, o.Resends = o.RateLimitChanges[:0], o.RateLimitRequests[:0], o.Resends[:0]
 }
 
 // Router runs the queries of one instance. Set the exported fields before Init.
@@ -340,6 +341,10 @@
 		change.Service = dispatcher
 		out.RateLimitChanges = append(out.RateLimitChanges, change)
 	}
+	for _, resend := range out.dispatcher.Resends {
+		resend.Service = dispatcher
+		out.Resends = append(out.Resends, resend)
+	}
 	for _, ask := range out.dispatcher.RateLimitAsks {
 		ask.Service = dispatcher
 		r.rateLimitAsks = append(r.rateLimitAsks, ask)
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -124,6 +124,9 @@
 		for i := range l.out.Delegations {
 			l.delegate(now, &l.out.Delegations[i])
 		}
+		for i := range l.out.Resends {
+			l.logResend(&l.out.Resends[i])
+		}
 		for i := range l.out.Results {
 			l.deliver(&l.out.Results[i])
 		}
--- a/transport/grnode/outcome.go
+++ b/transport/grnode/outcome.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/transport/grmetric"
 )
@@ -67,6 +68,23 @@
 		zap.Int64("retry_after_ms", int64(result.RetryAfter)))
 }
 
+// logResend logs that a request that is not idempotent is sent again, and the outcome that
+// proves that it has not run.
+func (l *routerLoop) logResend(r *grdispatch.Resend) {
+	pending := l.pending[r.Key.Query]
+	if pending == nil {
+		return
+	}
+	id := pending.requestID
+	if pending.route != nil {
+		id = pending.route.ID
+	}
+	l.node.Log.Info("request sent again",
+		zap.String("request_id", string(id)), zap.String("searcher", string(r.Searcher)),
+		zap.Uint32("connection", uint32(r.Conn)), zap.Uint64("attempt", uint64(r.Attempt)),
+		zap.Stringer("last", r.Outcome), zap.Int64("after_ms", int64(r.Age)))
+}
+
 // missingShard is the log form of a shard whose partial result is missing.
 type missingShard grrouter.MissingShard
 
