--- a/coordination/grdispatch/conn.go
+++ b/coordination/grdispatch/conn.go
@@ -4,12 +4,14 @@
 	"math"
 
 	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grident"
 )
 
 // connPool holds the connections to one searcher.
 type connPool struct {
-	idle       []idleConn // least recently used first
-	total      int        // opening, idle and in use
+	idle       []idleConn                         // least recently used first
+	carried    map[ConnID][]grident.CorrelationID // of the requests sent on each connection
+	total      int                                // opening, idle and in use
 	opening    int
 	target     int            // number of connections to pre-open
 	lastOpened grclock.Millis // time of the last successful opening
@@ -185,7 +187,7 @@
 // releaseConn returns a connection that was in use to the pool, or closes it.
 func (d *Dispatcher) releaseConn(now grclock.Millis, searcher int32, conn ConnID, healthy bool, out *Output) {
 	r := &d.searchers[searcher]
-	if healthy && r.usable() && r.conns.total <= d.connLimit(r) {
+	if healthy && r.usable() && r.conns.total <= d.connLimit(r) && !r.conns.isUsedUp(conn) {
 		r.conns.idle = append(r.conns.idle, idleConn{conn, now})
 		return
 	}
@@ -195,6 +197,7 @@
 // closeConn closes a connection that is not in the idle list.
 func (d *Dispatcher) closeConn(searcher int32, conn ConnID, out *Output) {
 	d.searchers[searcher].conns.total--
+	delete(d.searchers[searcher].conns.carried, conn)
 	d.Counters.ConnsClosed++
 	d.emit(out, CloseConn, searcher, conn, 0, SubRequestKey{}, 0)
 }
@@ -287,13 +290,17 @@
 
 // openForWaiting opens a connection to the best searcher that lacks only a connection
 // to take the waiting sub-request. If all of them lack a unit of their rate limits as well,
-// units are requested first.
+// units are requested first. At the connection limit the new connection replaces an idle
+// one, if all idle ones have carried the request before.
 func (d *Dispatcher) openForWaiting(now grclock.Millis, s *pendingRequest, out *Output) {
 	best, bestScore := int32(-1), math.Inf(1)
 	held := heldBackChoice{best: -1, rank: math.Inf(1), score: math.Inf(1)}
 	for i := range d.searchers {
 		r := &d.searchers[i]
-		if !r.usable() || r.conns.opening > 0 || r.conns.total >= d.connLimit(r) || r.conns.retryAt > now || r.inFlight >= int(r.window) {
+		if !r.usable() || r.conns.opening > 0 || r.conns.retryAt > now || r.inFlight >= int(r.window) {
+			continue
+		}
+		if r.conns.total >= d.connLimit(r) && !r.conns.isReplaceable(s.Correlation) {
 			continue
 		}
 		if !d.allows(s, int32(i)) || d.hasAttempt(s, int32(i)) {
@@ -311,7 +318,11 @@
 	if best < 0 && held.best >= 0 {
 		d.holdBack(now, s, held.best, true, out)
 	}
-	if best >= 0 {
-		d.openConn(best, out)
+	if best < 0 {
+		return
+	}
+	if r := &d.searchers[best]; r.conns.total >= d.connLimit(r) {
+		d.closeConn(best, r.conns.takeOldest(), out)
 	}
+	d.openConn(best, out)
 }
--- a/coordination/grdispatch/dispatch.go
+++ b/coordination/grdispatch/dispatch.go
@@ -47,7 +47,7 @@
 			d.finish(now, index, d.doneKind(s, NotStarted), out)
 			continue
 		}
-		if r < 0 && d.WarmConns != nil {
+		if r < 0 && (d.WarmConns != nil || s.Correlation != 0) {
 			d.openForWaiting(now, s, out)
 		}
 		if r < 0 && s.restricted() {
@@ -134,9 +134,8 @@
 func (d *Dispatcher) send(now grclock.Millis, index, searcher int32, out *Output) {
 	s := &d.subs[index]
 	r := &d.searchers[searcher]
-	last := len(r.conns.idle) - 1
-	conn := r.conns.idle[last].id
-	r.conns.idle = r.conns.idle[:last]
+	conn := r.conns.takeFor(s.Correlation)
+	r.conns.recordCarried(conn, s.Correlation)
 	d.recordUse(now, r)
 	r.inFlight++
 	d.sendCount++
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -33,6 +33,7 @@
 // SubRequest is a sub-request, which any one searcher of the service can answer.
 type SubRequest struct {
 	Key           SubRequestKey
+	Correlation   grident.CorrelationID // no connection carries two requests of one id
 	Deadline      grclock.Millis
 	NonIdempotent bool // not idempotent: sent again only if no searcher can have started it
 
--- a/coordination/grdispatch/searcher.go
+++ b/coordination/grdispatch/searcher.go
@@ -126,7 +126,7 @@
 	held := heldBackChoice{best: -1, rank: math.Inf(1), score: math.Inf(1)}
 	for i := range d.searchers {
 		r := &d.searchers[i]
-		if !d.hasRoom(now, r) || !d.allows(s, int32(i)) || d.hasAttempt(s, int32(i)) && !d.allHaveAttempt(s) {
+		if !d.hasRoom(now, r, s) || !d.allows(s, int32(i)) || d.hasAttempt(s, int32(i)) && !d.allHaveAttempt(s) {
 			continue
 		}
 		score := d.score(now, r, i)
@@ -170,8 +170,9 @@
 	return false
 }
 
-func (d *Dispatcher) hasRoom(now grclock.Millis, r *searcherState) bool {
-	if !r.usable() || len(r.conns.idle) == 0 {
+// hasRoom reports whether the searcher can take an attempt of s now.
+func (d *Dispatcher) hasRoom(now grclock.Millis, r *searcherState, s *pendingRequest) bool {
+	if !r.usable() || r.conns.idleFor(s.Correlation) < 0 {
 		return false
 	}
 	if r.backoffUntil > now || r.inFlight >= int(r.window) {
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -199,6 +199,7 @@
 	s := grdispatch.SubRequest{Key: key, Deadline: q.deadline, NonIdempotent: q.atMostOnce}
 	if q.route != nil {
 		route := q.route.route
+		s.Correlation = q.route.correlation
 		s.Priority, s.MaxAttempts, s.LatencyObjective = route.Priority, route.MaxAttempts, q.route.partialDeadline
 		ratio := r.RoutePolicy.HedgeRatio
 		if !route.FanOut {
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -14,6 +14,7 @@
 // RouteRequest is a request on a route of the routing table. It uses the table that it
 // carries to its end, even if a newer one arrives.
 type RouteRequest struct {
+	Correlation         grident.CorrelationID // of the id by which searchers' answers are matched to requests
 	Table               *grroutes.Table
 	Route               *grroutes.Route
 	Services            []grident.Service     // the shards to request, all of one target; empty: the target chosen by traffic split
@@ -64,6 +65,7 @@
 // routeState is the state of a query that is a request on a route.
 type routeState struct {
 	route                *grroutes.Route
+	correlation          grident.CorrelationID
 	services             []grident.Service
 	parts                []PartialResult
 	failure              *granswer.Answer
@@ -159,7 +161,7 @@
 
 // planRoute selects the services to request and computes the partial-result deadline.
 func (r *Router) planRoute(now grclock.Millis, req *RouteRequest) *routeState {
-	rs := &routeState{route: req.Route, services: req.Services}
+	rs := &routeState{route: req.Route, correlation: req.Correlation, services: req.Services}
 	if len(rs.services) == 0 {
 		rs.services = req.Route.Targets[r.targetPickerOf(req).next(req.Route.Targets)].Services
 	}
--- a/standin/grstandroute/instance.go
+++ b/standin/grstandroute/instance.go
@@ -122,7 +122,7 @@
 }
 
 func (in *instance) handleRequest(req *request) {
-	routeReq := grrouter.RouteRequest{Table: in.sim.table, Route: req.route, Deadline: req.at + req.route.Timeout}
+	routeReq := grrouter.RouteRequest{Correlation: req.correlation(), Table: in.sim.table, Route: req.route, Deadline: req.at + req.route.Timeout}
 	if !in.sim.config.NoRemainingTime {
 		routeReq.Remaining = req.route.Timeout - req.elapsed
 	}
@@ -246,7 +246,7 @@
 		return
 	}
 	routeReq := grrouter.RouteRequest{
-		Table: sim.table, Route: g.request.route, Services: g.d.Services, Reserved: g.d.Reserved, IsGroup: true, PartialDeadline: g.d.PartialDeadline, Deadline: g.d.Deadline,
+		Correlation: g.request.correlation(), Table: sim.table, Route: g.request.route, Services: g.d.Services, Reserved: g.d.Reserved, IsGroup: true, PartialDeadline: g.d.PartialDeadline, Deadline: g.d.Deadline,
 	}
 	if sim.config.PeersReportRemaining {
 		routeReq.Remaining = g.d.Remaining
--- a/standin/grstandroute/request.go
+++ b/standin/grstandroute/request.go
@@ -25,6 +25,9 @@
 	searchTime grclock.Millis                  // time of each of its sub-requests; 0: not drawn yet
 }
 
+// correlation returns the id by which the searchers' answers are matched to the request.
+func (r *request) correlation() grident.CorrelationID { return grident.CorrelationID(r.number + 1) }
+
 // outcome is how a request ended for its caller.
 type outcome uint8
 
--- a/state/grident/id.go
+++ b/state/grident/id.go
@@ -55,6 +55,14 @@
 // AttemptID identifies one attempt of a sub-request within one run of an instance.
 type AttemptID uint64
 
+// CorrelationID is a hash of the id by which the answers of a searcher are matched to
+// requests, where attempts of one request share that id. 0 means that each attempt has an
+// id of its own.
+type CorrelationID uint64
+
+// CorrelationOf returns the correlation id of a request, which is never 0.
+func CorrelationOf(id RequestID) CorrelationID { return CorrelationID(Hash(id) | 1) }
+
 // Hash returns the 64-bit FNV-1a hash of the text, passed through Mix because the FNV
 // hashes of short texts are not spread over all 64 bits.
 func Hash[T ~string](text T) uint64 {
--- a/transport/grnode/event.go
+++ b/transport/grnode/event.go
@@ -37,6 +37,7 @@
 func (p *pendingRequest) apply(l *routerLoop, now grclock.Millis) {
 	switch {
 	case p.route != nil:
+		p.route.Correlation = grident.CorrelationOf(p.route.ID)
 		l.track(p, l.router.StartRoute(now, p.route.RouteRequest, &l.out))
 	case p.nonIdempotent:
 		request := grrouter.Request{Collection: p.collection, Key: p.key, Deadline: p.deadline}
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -39,7 +39,7 @@
 // RouteRequest is a caller's request on a route.
 type RouteRequest struct {
 	grrouter.RouteRequest
-	ID          grident.RequestID // request id of the caller, for logs
+	ID          grident.RequestID // request id of the caller, by which searchers' answers are matched, also for logs
 	HTTPRequest *http.Request     // its body is not read
 	Body        []byte
 }
