--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -17,6 +17,7 @@
 
 	"geraniumrouter/coordination/grconnlimit"
 	"geraniumrouter/coordination/grgossip"
+	"geraniumrouter/coordination/grregistry"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
 	"geraniumrouter/state/grpreset"
@@ -26,9 +27,12 @@
 
 // Message is a message between two instances.
 type Message struct {
-	From  grconnlimit.Member
-	Load  int // queries in flight at the sender
-	Items grgossip.Message[Value]
+	From grconnlimit.Member
+	Load int // queries in flight at the sender
+	// PlatformAway tells that the sender cannot read the list of searchers, or could not until
+	// just now: it holds searchers whose entries may have expired meanwhile.
+	PlatformAway bool
+	Items        grgossip.Message[Value]
 	// GroupItems holds the published connection divisors of the sender's group; nil if the
 	// receiver is in another group or there is nothing to send.
 	GroupItems *grgossip.Message[Value]
@@ -50,12 +54,13 @@
 	RoutingTable     *grroutes.Table        // newly active routing table, or nil
 	SearchersChanged bool                   // the searchers or the divisor changed
 	MembersChanged   bool                   // the members or their states changed
+	SearcherChanges  []SearcherChange       // changes that this instance read from the platform
 	RateLimits       []RateLimit            // new rate limits of searchers, those published here included
 }
 
 // Reset clears all results and keeps the allocated memory.
 func (o *Output) Reset() {
-	*o = Output{Messages: o.Messages[:0], ShardMaps: o.ShardMaps[:0], RateLimits: o.RateLimits[:0]}
+	*o = Output{Messages: o.Messages[:0], ShardMaps: o.ShardMaps[:0], RateLimits: o.RateLimits[:0], SearcherChanges: o.SearcherChanges[:0]}
 }
 
 // Intervals of heartbeats and startup.
@@ -92,27 +97,29 @@
 	UncoordinatedDivisor bool
 	WatcherCount         int // instances that watch the platform in total; 0: one in each failure domain
 
-	items           grgossip.Map[Value] // replicated to all instances
-	groupItems      grgossip.Map[Value] // replicated within the group
-	presetRegister  grpreset.ActiveRegister
-	loads           map[grident.InstanceID]int
-	unansweredSince map[grident.InstanceID]grclock.Millis // time of the first unanswered heartbeat
-	published       grconnlimit.PublishedDivisor          // own connection divisor and the members it counts
-	divisorStale    bool                                  // inputs of the divisor changed
-	pendingDivisor  int                                   // larger divisor, limits connections already; published when they are reduced to it
-	membersRead     bool                                  // the platform's list of members was read
-	listMisses      map[grident.SearcherID]int            // consecutive lists of the platform without the searcher
-	rateLimitsAt    map[grident.SearcherID]grclock.Millis // last publications of rate limits
-	missingRuns     map[grident.InstanceID]missingRun
-	nextHeartbeat   grclock.Millis
-	members         []Member // members that are not gone, ordered by hash; rebuilt when stale
-	groupMembers    []Member // those of this instance's group
-	membersStale    bool
-	out             *Output
-	divisorSeq      uint64 // number of times that this run published its divisor
-	ownState        State  // the state that this instance publishes of itself
-	startedAt       grclock.Millis
-	startupDone     bool // enough was read to activate a preset
+	items            grgossip.Map[Value] // replicated to all instances
+	groupItems       grgossip.Map[Value] // replicated within the group
+	registry         grregistry.Registry // what was read of the platform's list of searchers, where it has revisions
+	readingSearchers bool                // a searcher that this instance read is being stored
+	presetRegister   grpreset.ActiveRegister
+	loads            map[grident.InstanceID]int
+	unansweredSince  map[grident.InstanceID]grclock.Millis // time of the first unanswered heartbeat
+	published        grconnlimit.PublishedDivisor          // own connection divisor and the members it counts
+	divisorStale     bool                                  // inputs of the divisor changed
+	pendingDivisor   int                                   // larger divisor, limits connections already; published when they are reduced to it
+	membersRead      bool                                  // the platform's list of members was read
+	listMisses       map[grident.SearcherID]int            // consecutive lists of the platform without the searcher
+	rateLimitsAt     map[grident.SearcherID]grclock.Millis // last publications of rate limits
+	missingRuns      map[grident.InstanceID]missingRun
+	nextHeartbeat    grclock.Millis
+	members          []Member // members that are not gone, ordered by hash; rebuilt when stale
+	groupMembers     []Member // those of this instance's group
+	membersStale     bool
+	out              *Output
+	divisorSeq       uint64 // number of times that this run published its divisor
+	ownState         State  // the state that this instance publishes of itself
+	startedAt        grclock.Millis
+	startupDone      bool // enough was read to activate a preset
 }
 
 // Init prepares the state at startup. It must be called once, before all other
@@ -135,7 +142,7 @@
 	}
 	c.groupItems.OnChange = func(grclock.Millis, Item, Item) { c.divisorStale = true }
 	c.membersStale = true
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.put(now, memberKey(c.Self.ID), versionOf(c.Self.Incarnation, 0, Live), Value{Kind: MemberKind, Member: c.Self})
 		c.publishDivisor(now)
 	})
@@ -147,8 +154,11 @@
 // is none.
 func (c *Cluster) Receive(now grclock.Millis, got Message, out *Output) (answer Message, ok bool) {
 	c.recordMessage(got.From.ID, got.Load)
-	c.runStep(out, func() {
-		answer = Message{From: c.Self.Member, Load: c.Load}
+	if got.PlatformAway {
+		c.registry.PeerOutage(now)
+	}
+	c.runStep(now, out, func() {
+		answer = c.newMessage(now)
 		answer.Items, ok = c.items.Receive(now, got.Items)
 		if got.GroupItems != nil && c.groupOf(got.From.ID) == c.groupOf(c.Self.ID) {
 			if group, more := c.groupItems.Receive(now, *got.GroupItems); more {
@@ -167,7 +177,7 @@
 // It proves that the given run has ended, the run known at this address when the
 // message was prepared.
 func (c *Cluster) ConnectionRefused(now grclock.Millis, address grident.Address, run grident.Incarnation, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		for _, m := range slices.Clone(c.Members()) {
 			if m.PeerAddress == address && m.Incarnation == run && m.ID != c.Self.ID {
 				c.setMember(now, m.ID, Gone)
@@ -180,7 +190,7 @@
 // Tick runs the timers. It must be called at the time that NextWake returns, or
 // earlier.
 func (c *Cluster) Tick(now grclock.Millis, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		if now >= c.nextHeartbeat {
 			c.nextHeartbeat = now + HeartbeatInterval
 			c.sendHeartbeats(now)
@@ -189,6 +199,7 @@
 			c.completeStartup()
 		}
 		c.suspectUnresponsive(now)
+		c.removeDue(now, FromBefore)
 		c.updateDivisor(now)
 	})
 }
@@ -199,7 +210,7 @@
 // Leave marks this instance as leaving or, with done, as gone. With done, its
 // connections must be closed already.
 func (c *Cluster) Leave(now grclock.Millis, done bool, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.ownState = Leaving
 		if done {
 			c.ownState = Gone
@@ -212,7 +223,7 @@
 
 // SetPreset stores and publishes an accepted switch of the preset.
 func (c *Cluster) SetPreset(now grclock.Millis, a *grpreset.ActivePreset, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.put(now, presetKey, grgossip.Version(a.Generation), Value{Kind: PresetKind, Preset: a})
 	})
 }
@@ -220,7 +231,7 @@
 // SetShardMap stores and publishes a shard map; version is the revision of its object
 // on the platform.
 func (c *Cluster) SetShardMap(now grclock.Millis, m *grsnapshot.ShardMap, version grident.Revision, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.put(now, shardMapKey(m.Collection), grgossip.Version(version), Value{Kind: ShardMapKind, ShardMap: m})
 	})
 }
@@ -228,7 +239,7 @@
 // SetRoutingTable stores and publishes a routing table if its version is higher than
 // that of the one held.
 func (c *Cluster) SetRoutingTable(now grclock.Millis, t *grroutes.Table, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.put(now, routingTableKey, grgossip.Version(t.Version), Value{Kind: RoutingTableKind, RoutingTable: t})
 	})
 }
@@ -255,7 +266,7 @@
 // includes this instance.
 func (c *Cluster) SetRegisteredMembers(now grclock.Millis, members []Member, out *Output) {
 	c.membersRead, c.divisorStale = true, true
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		for _, m := range members {
 			if m.ID != c.Self.ID {
 				c.put(now, memberKey(m.ID), versionOf(m.Incarnation, 0, Live), Value{Kind: MemberKind, Member: m})
@@ -274,19 +285,24 @@
 
 // runStep runs a step that collects its results in out, and then pushes the new
 // changes.
-func (c *Cluster) runStep(out *Output, step func()) {
+func (c *Cluster) runStep(now grclock.Millis, out *Output, step func()) {
 	c.out = out
 	step()
-	c.pushChanges()
+	c.pushChanges(now)
 	c.out = nil
 }
 
+// newMessage returns a message without items.
+func (c *Cluster) newMessage(now grclock.Millis) Message {
+	return Message{From: c.Self.Member, Load: c.Load, PlatformAway: c.registry.AwaitsReturns(now)}
+}
+
 func (c *Cluster) put(now grclock.Millis, key grgossip.Key, version grgossip.Version, value Value) bool {
 	return c.items.Put(now, Item{Key: key, Version: version, Value: value})
 }
 
 // itemChanged handles the replacement of an item.
-func (c *Cluster) itemChanged(now grclock.Millis, _, item Item) {
+func (c *Cluster) itemChanged(now grclock.Millis, old, item Item) {
 	switch item.Value.Kind {
 	case PresetKind:
 		if c.startupDone {
@@ -298,6 +314,7 @@
 		c.out.RoutingTable = item.Value.RoutingTable
 	case SearcherKind:
 		c.out.SearchersChanged = true
+		c.checkOutdated(now, old, item)
 	case RateLimitKind:
 		c.out.RateLimits = append(c.out.RateLimits, item.Value.RateLimit)
 	case MemberKind:
@@ -319,8 +336,8 @@
 
 // PlatformRead records that the platform's objects were read. The instance then no
 // longer waits for peers before it activates a preset.
-func (c *Cluster) PlatformRead(out *Output) {
-	c.runStep(out, func() { c.completeStartup() })
+func (c *Cluster) PlatformRead(now grclock.Millis, out *Output) {
+	c.runStep(now, out, func() { c.completeStartup() })
 }
 
 // completeStartup completes the startup. A preset is not activated earlier, because a
--- a/coordination/grcluster/divisor.go
+++ b/coordination/grcluster/divisor.go
@@ -70,7 +70,7 @@
 	if c.pendingDivisor == 0 || divisor < c.pendingDivisor {
 		return
 	}
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.published.Divisor = c.pendingDivisor
 		c.pendingDivisor = 0
 		c.divisorStale = true
--- a/coordination/grcluster/entries.go
+++ b/coordination/grcluster/entries.go
@@ -85,7 +85,7 @@
 	for _, id := range ids {
 		present[id] = true
 	}
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		for _, m := range slices.Clone(c.Members()) {
 			if present[m.ID] || m.ID == c.Self.ID {
 				delete(c.missingRuns, m.ID)
--- a/coordination/grcluster/heartbeat.go
+++ b/coordination/grcluster/heartbeat.go
@@ -20,7 +20,8 @@
 // another group, and to the seeds that are not known members yet. Each heartbeat
 // carries the recent changes and the digests.
 func (c *Cluster) sendHeartbeats(now grclock.Millis) {
-	message := Message{From: c.Self.Member, Load: c.Load, Items: c.items.Push()}
+	message := c.newMessage(now)
+	message.Items = c.items.Push()
 	groupMessage := message
 	group := c.groupItems.Push()
 	if !c.UncoordinatedDivisor {
@@ -76,18 +77,20 @@
 }
 
 // pushChanges sends the changes of this step to a few randomly chosen members.
-func (c *Cluster) pushChanges() {
+func (c *Cluster) pushChanges(now grclock.Millis) {
 	changes, changed := c.items.TakeRecent()
 	group, groupChanged := c.groupItems.TakeRecent()
 	if !c.PushImmediately {
 		return
 	}
 	if changed {
-		message := Message{From: c.Self.Member, Load: c.Load, Items: changes}
+		message := c.newMessage(now)
+		message.Items = changes
 		c.sendToSample(c.Members(), message)
 	}
 	if groupChanged {
-		message := Message{From: c.Self.Member, Load: c.Load, GroupItems: &group}
+		message := c.newMessage(now)
+		message.GroupItems = &group
 		message.Items.Digest = c.items.Digest()
 		c.sendToSample(c.Group(), message)
 	}
@@ -174,7 +177,7 @@
 	if c.Self.PlatformUnreachable != reachable {
 		return
 	}
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		c.Self.PlatformUnreachable = !reachable
 		c.publishSelf(now)
 	})
--- a/coordination/grcluster/member.go
+++ b/coordination/grcluster/member.go
@@ -15,7 +15,7 @@
 		return
 	}
 	c.Self.CallerAddress = address
-	c.runStep(out, func() { c.publishSelf(now) })
+	c.runStep(now, out, func() { c.publishSelf(now) })
 }
 
 // publishSelf publishes the changed description of this instance.
--- a/coordination/grcluster/rate_limit.go
+++ b/coordination/grcluster/rate_limit.go
@@ -43,7 +43,7 @@
 		version = rateLimitVersion(l, countOf(held.Version)+1)
 	}
 	c.rateLimitsAt[l.Searcher] = now
-	c.runStep(out, func() { c.put(now, key, version, Value{Kind: RateLimitKind, RateLimit: l}) })
+	c.runStep(now, out, func() { c.put(now, key, version, Value{Kind: RateLimitKind, RateLimit: l}) })
 }
 
 // RateLimitOf returns the newest rate limit that was published for a searcher.
--- a/coordination/grcluster/rate_limit_test.go
+++ b/coordination/grcluster/rate_limit_test.go
@@ -22,7 +22,7 @@
 // exchange passes the item of the rate limit from one instance to the other.
 func exchange(from, to *Cluster, out *Output) {
 	if item, ok := from.items.Get(rateLimitKey("i-1")); ok {
-		to.runStep(out, func() { to.put(0, item.Key, item.Version, item.Value) })
+		to.runStep(0, out, func() { to.put(0, item.Key, item.Version, item.Value) })
 	}
 }
 
--- a/coordination/grcluster/searcher.go
+++ b/coordination/grcluster/searcher.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"geraniumrouter/coordination/grgossip"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
 )
@@ -22,7 +21,7 @@
 // UpdateSearchers processes the platform's list of searchers. The list may be outdated,
 // so a leaving searcher does not become live again within the same run.
 func (c *Cluster) UpdateSearchers(now grclock.Millis, list []SearcherStatus, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		present := make(map[grident.SearcherID]bool, len(list))
 		for i := range list {
 			present[list[i].ID] = true
@@ -59,28 +58,6 @@
 	}
 }
 
-// UpdateSearchersAt processes searcher entries of the platform, each with the revision
-// at which it was read. The platform numbers all its changes with one counter, so a late
-// read of one instance never overrides a newer read of another. If withoutPush is set,
-// the entries are stored but not pushed, because every instance reads them itself at
-// startup.
-func (c *Cluster) UpdateSearchersAt(now grclock.Millis, list []SearcherStatus, revisions []grident.Revision, withoutPush bool, out *Output) {
-	c.runStep(out, func() {
-		for i := range list {
-			if c.isStored(&list[i]) {
-				continue
-			}
-			version := grgossip.Version(revisions[i])<<stateBits | grgossip.Version(list[i].State)
-			item := Item{Key: searcherKey(list[i].ID), Version: version, Value: Value{Kind: SearcherKind, Searcher: list[i].Searcher}}
-			if withoutPush {
-				c.items.PutWithoutPush(now, item)
-			} else {
-				c.items.Put(now, item)
-			}
-		}
-	})
-}
-
 // digestInput returns an item's contribution to the digests. For a searcher it covers
 // the description and the state but not the revision, because instances may read the
 // same entry at different revisions.
@@ -99,19 +76,10 @@
 	return hash
 }
 
-// isStored reports whether the same description and state of a searcher are stored
-// already; an entry may have changed only in fields that are not used here. An entry
-// that was created again differs in CreatedRevision and is stored with its newer revision, so
-// that a late report of the previous entry's removal does not override it.
-func (c *Cluster) isStored(s *SearcherStatus) bool {
-	held, ok := c.items.Get(searcherKey(s.ID))
-	return ok && held.Value.Searcher == s.Searcher && StateOf(held.Version) == s.State
-}
-
 // MarkSearcherLeaving records that a run of a searcher has announced that it is
 // leaving.
 func (c *Cluster) MarkSearcherLeaving(now grclock.Millis, id grident.SearcherID, run grident.Incarnation, out *Output) {
-	c.runStep(out, func() {
+	c.runStep(now, out, func() {
 		if held, ok := c.items.Get(searcherKey(id)); ok && runOf(held.Version) == run {
 			c.advanceSearcher(now, id, Leaving)
 		}
--- a/coordination/grcluster/searcher_test.go
+++ b/coordination/grcluster/searcher_test.go
@@ -15,7 +15,7 @@
 	c.Init(0, &out)
 	put := func(created, at grident.Revision, state State) {
 		s := SearcherStatus{Searcher: Searcher{ID: "s", Service: "a", CreatedRevision: created}, State: state}
-		c.UpdateSearchersAt(0, []SearcherStatus{s}, []grident.Revision{at}, false, &out)
+		c.ChangeSearchers(0, []ListedSearcher{{s, at}}, at, &out)
 	}
 	put(50, 50, Live)
 	put(50, 60, Live)   // A field that is not used changed.
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -20,6 +20,9 @@
 	// the receiver is in another group or there is nothing to send.
 	GroupItems *GossipWire `cbor:"4,keyasint,omitempty"`
 	Empty      bool        `cbor:"5,keyasint,omitempty"` // a reply without content
+	// PlatformAway tells that the sender cannot read the list of searchers, or could not until
+	// just now.
+	PlatformAway bool `cbor:"6,keyasint,omitempty"`
 }
 
 // GossipWire is an anti-entropy message about one replicated map of items.
@@ -127,7 +130,7 @@
 
 // PeerMessageTo converts a message to its wire form.
 func PeerMessageTo(m *grcluster.Message) PeerMessage {
-	w := PeerMessage{From: runTo(m.From), Load: m.Load, Items: gossipTo(&m.Items)}
+	w := PeerMessage{From: runTo(m.From), Load: m.Load, PlatformAway: m.PlatformAway, Items: gossipTo(&m.Items)}
 	if m.GroupItems != nil {
 		group := gossipTo(m.GroupItems)
 		w.GroupItems = &group
@@ -138,7 +141,7 @@
 // PeerMessageFrom converts a message from its wire form. Items that cannot be decoded
 // are skipped; the next comparison of digests shows that they are missing.
 func PeerMessageFrom(w *PeerMessage) grcluster.Message {
-	m := grcluster.Message{From: runFrom(w.From), Load: w.Load, Items: gossipFrom(&w.Items)}
+	m := grcluster.Message{From: runFrom(w.From), Load: w.Load, PlatformAway: w.PlatformAway, Items: gossipFrom(&w.Items)}
 	if w.GroupItems != nil {
 		group := gossipFrom(w.GroupItems)
 		m.GroupItems = &group
--- a/standin/grstandfleet/fleet.go
+++ b/standin/grstandfleet/fleet.go
@@ -264,7 +264,7 @@
 		m.cluster.SetPreset(f.Now, &active, &m.out)
 	}
 	if !p.Stale {
-		m.cluster.PlatformRead(&m.out)
+		m.cluster.PlatformRead(f.Now, &m.out)
 	}
 	if m.cluster.IsWatcher() {
 		m.cluster.UpdateSearchers(f.Now, p.searchers, &m.out)
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -40,10 +40,11 @@
 	targetDivisor  int
 	connsReleased  bool
 	searchersStale bool // the router gets the changed searchers on the next tick
+	listedOnce     bool // a complete list of searchers was read
 }
 
-// controlEvent is an input of the control loop. It holds one event; fullListing,
-// revisions and readByAll qualify other fields.
+// controlEvent is an input of the control loop. It holds one event; fullListing qualifies
+// objects.
 type controlEvent struct {
 	objects     []grwire.ObjectWire
 	fullListing bool // objects is a full listing
@@ -55,16 +56,23 @@
 	leaving     *leavingEvent
 	// reducedTo is a divisor: the connections held are now within each connection limit
 	// divided by this.
-	reducedTo         int
-	drain             bool
-	table             *grroutes.Table
-	searchers         []grcluster.SearcherStatus
-	revisions         []grident.Revision // revision of the last change of each searcher
-	readByAll         bool               // others read these revisions too and need no message
-	seeds             []grident.Address
-	rateLimit         *grcluster.RateLimit // stated by a searcher to this instance
-	platformReachable *bool                // whether the platform answers this instance
-	inspect           func(c *grcluster.Cluster)
+	reducedTo       int
+	drain           bool
+	table           *grroutes.Table
+	searcherList    *searcherList
+	searcherChanges *searcherList
+	// searchersUnreadable reports that the platform's list of searchers could not be read.
+	searchersUnreadable bool
+	seeds               []grident.Address
+	rateLimit           *grcluster.RateLimit // stated by a searcher to this instance
+	platformReachable   *bool                // whether the platform answers this instance
+	inspect             func(c *grcluster.Cluster)
+}
+
+// searcherList is the platform's list of searchers, or changes of it, up to a revision.
+type searcherList struct {
+	searchers []grcluster.ListedSearcher
+	revision  grident.Revision
 }
 
 type messageEvent struct {
@@ -177,7 +185,7 @@
 	}
 	switch {
 	case e.fullListing:
-		c.state.PlatformRead(&c.out)
+		c.state.PlatformRead(now, &c.out)
 	case e.instances != nil:
 		c.state.UpdateSearchers(now, searchersFrom(e.instances), &c.out)
 		c.state.UpdateInstances(now, entryIDsFrom(e.instances), &c.out)
@@ -197,8 +205,13 @@
 		c.state.ConnectionsReduced(now, e.reducedTo, &c.out)
 	case e.table != nil:
 		c.state.SetRoutingTable(now, e.table, &c.out)
-	case e.searchers != nil:
-		c.state.UpdateSearchersAt(now, e.searchers, e.revisions, e.readByAll, &c.out)
+	case e.searcherList != nil:
+		c.state.ListSearchers(now, e.searcherList.searchers, e.searcherList.revision, !c.listedOnce, &c.out)
+		c.listedOnce = true
+	case e.searcherChanges != nil:
+		c.state.ChangeSearchers(now, e.searcherChanges.searchers, e.searcherChanges.revision, &c.out)
+	case e.searchersUnreadable:
+		c.state.ListFailed()
 	case e.rateLimit != nil:
 		c.state.SetRateLimit(now, *e.rateLimit, &c.out)
 	case e.seeds != nil:
@@ -262,6 +275,7 @@
 	for _, m := range c.out.ShardMaps {
 		c.node.post(mapUpdated{m})
 	}
+	c.logSearcherChanges()
 	for i := range c.out.RateLimits {
 		c.node.post(&rateLimitLearned{c.out.RateLimits[i]})
 	}
@@ -293,6 +307,27 @@
 	}
 }
 
+// maxLoggedSearchers limits the number of searchers named in a log line.
+const maxLoggedSearchers = 8
+
+// logSearcherChanges writes one log line that names the searchers that are leaving or gone,
+// as this instance read it from the platform; other changes are only counted.
+func (c *controlLoop) logSearcherChanges() {
+	changes := c.out.SearcherChanges
+	if len(changes) == 0 {
+		return
+	}
+	var leaving []string
+	for i := range changes {
+		if s := &changes[i]; s.State != grcluster.Live && len(leaving) < maxLoggedSearchers {
+			leaving = append(leaving, string(s.ID)+" "+s.State.String())
+		}
+	}
+	last := &changes[len(changes)-1]
+	c.node.Log.Info("searchers changed", zap.Int("count", len(changes)), zap.Strings("leaving", leaving),
+		zap.Uint64("revision", uint64(last.Revision)), zap.Stringer("read", last.Read))
+}
+
 // logMemberStates logs each member whose state changed.
 func (c *controlLoop) logMemberStates() {
 	for _, m := range c.state.Status() {
--- a/transport/grnode/ready_test.go
+++ b/transport/grnode/ready_test.go
@@ -8,7 +8,6 @@
 
 	"geraniumrouter/coordination/grcluster"
 	"geraniumrouter/state/grclock"
-	"geraniumrouter/state/grident"
 	"geraniumrouter/state/grroutes"
 	"geraniumrouter/state/grsettings"
 )
@@ -28,8 +27,9 @@
 	if n.Ready() {
 		t.Error("ready without a searcher")
 	}
-	searcher := grcluster.SearcherStatus{Searcher: grcluster.Searcher{ID: "s/1", Incarnation: 1, Service: "s", Address: "127.0.0.1:3", Slots: 2}}
-	n.controlLoop.handle(now, &controlEvent{searchers: []grcluster.SearcherStatus{searcher}, revisions: []grident.Revision{5}})
+	searcher := grcluster.ListedSearcher{Revision: 5}
+	searcher.Searcher = grcluster.Searcher{ID: "s/1", Incarnation: 1, Service: "s", Address: "127.0.0.1:3", Slots: 2}
+	n.controlLoop.handle(now, &controlEvent{searcherList: &searcherList{[]grcluster.ListedSearcher{searcher}, 5}})
 	if !n.Ready() {
 		t.Error("not ready with a table and a searcher")
 	}
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -58,13 +58,21 @@
 // SetRoutingTable queues a routing table that was read from the platform for activation.
 func (n *Node) SetRoutingTable(t *grroutes.Table) { n.controlLoop.post(controlEvent{table: t}) }
 
-// UpdateSearchers queues a list of searchers that was read from the platform, with the
-// revision of each one's last change. readByAll reports that the other instances read
-// these revisions too and need not be notified.
-func (n *Node) UpdateSearchers(list []grcluster.SearcherStatus, revisions []grident.Revision, readByAll bool) {
-	n.controlLoop.post(controlEvent{searchers: list, revisions: revisions, readByAll: readByAll})
+// ListSearchers queues the complete list of searchers that was read from the platform. No
+// entry was read from a state older than the revision at.
+func (n *Node) ListSearchers(list []grcluster.ListedSearcher, at grident.Revision) {
+	n.controlLoop.post(controlEvent{searcherList: &searcherList{list, at}})
 }
 
+// ChangeSearchers queues the changes of searchers that were read from the platform after the
+// list, up to a revision.
+func (n *Node) ChangeSearchers(changes []grcluster.ListedSearcher, upTo grident.Revision) {
+	n.controlLoop.post(controlEvent{searcherChanges: &searcherList{changes, upTo}})
+}
+
+// SearchersUnreadable records that reading the searchers from the platform failed.
+func (n *Node) SearchersUnreadable() { n.controlLoop.post(controlEvent{searchersUnreadable: true}) }
+
 // AddSeeds adds addresses of other instances to contact.
 func (n *Node) AddSeeds(seeds []grident.Address) { n.controlLoop.post(controlEvent{seeds: seeds}) }
 
