--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -110,6 +110,7 @@
 	membersRead      bool                                  // the platform's list of members was read
 	listMisses       map[grident.SearcherID]int            // consecutive lists of the platform without the searcher
 	rateLimitsAt     map[grident.SearcherID]grclock.Millis // last publications of rate limits
+	unlistedRuns     map[grident.SearcherID]missingRun     // searchers of other instances that the platform does not list
 	missingRuns      map[grident.InstanceID]missingRun
 	nextHeartbeat    grclock.Millis
 	members          []Member // members that are not gone, ordered by hash; rebuilt when stale
@@ -129,6 +130,7 @@
 	c.loads = make(map[grident.InstanceID]int)
 	c.listMisses = make(map[grident.SearcherID]int)
 	c.rateLimitsAt = make(map[grident.SearcherID]grclock.Millis)
+	c.unlistedRuns = make(map[grident.SearcherID]missingRun)
 	c.missingRuns = make(map[grident.InstanceID]missingRun)
 	c.items.PushRounds, c.groupItems.PushRounds = pushRounds, pushRounds
 	c.items.OnChange = c.itemChanged
--- a/coordination/grcluster/searcher.go
+++ b/coordination/grcluster/searcher.go
@@ -38,9 +38,39 @@
 				c.advanceSearcher(now, id, Gone)
 			}
 		}
+		c.removeUnlisted(now, present)
 	})
 }
 
+// removeUnlisted removes the searchers that this instance knows from others only, and that
+// have not been listed for missingTimeout. The list shows changes late, so it may not yet
+// show a searcher that another instance knows.
+func (c *Cluster) removeUnlisted(now grclock.Millis, present map[grident.SearcherID]bool) {
+	var unlisted []grident.SearcherID
+	c.items.All(func(item Item) {
+		id := item.Value.Searcher.ID
+		_, wasListed := c.listMisses[id]
+		if item.Value.Kind != SearcherKind || present[id] || wasListed || StateOf(item.Version) == Gone {
+			return
+		}
+		first, known := c.unlistedRuns[id]
+		if !known || first.run != item.Value.Searcher.Incarnation {
+			c.unlistedRuns[id] = missingRun{item.Value.Searcher.Incarnation, now}
+			return
+		}
+		if now-first.since >= missingTimeout {
+			unlisted = append(unlisted, id)
+		}
+	})
+	for _, id := range unlisted {
+		delete(c.unlistedRuns, id)
+		c.advanceSearcher(now, id, Gone)
+	}
+	for id := range present {
+		delete(c.unlistedRuns, id)
+	}
+}
+
 func (c *Cluster) mergeSearcher(now grclock.Millis, s *SearcherStatus) {
 	key := searcherKey(s.ID)
 	value := Value{Kind: SearcherKind, Searcher: s.Searcher}
--- a/coordination/grcluster/searcher_test.go
+++ b/coordination/grcluster/searcher_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"geraniumrouter/coordination/grgossip"
+	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
 )
 
@@ -29,3 +31,26 @@
 		t.Errorf("searchers after the removal of the new entry: %+v, want none", list)
 	}
 }
+
+// TestUnlistedSearcherOfOthers guards against a searcher that stays in use because it left the
+// list, one without revisions, before this instance first read it.
+func TestUnlistedSearcherOfOthers(t *testing.T) {
+	var out Output
+	c := &Cluster{}
+	c.Init(0, &out)
+	known := Searcher{ID: "s", Incarnation: 7, Service: "a"}
+	item := Item{Key: searcherKey("s"), Version: versionOf(7, 0, Live), Value: Value{Kind: SearcherKind, Searcher: known}}
+	c.Receive(0, Message{Items: grgossip.Message[Value]{Items: []Item{item}}}, &out)
+	inUse := func(now grclock.Millis) bool {
+		c.UpdateSearchers(now, nil, &out)
+		return len(c.Searchers()) > 0
+	}
+	for now := grclock.Millis(0); now < missingTimeout; now += 500 {
+		if !inUse(now) {
+			t.Fatalf("removed after %d ms, when the list may not show it yet", now)
+		}
+	}
+	if inUse(missingTimeout) {
+		t.Error("still in use after the longest delay of the list")
+	}
+}
