--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// IsKept reports whether a query continues although its caller has disconnected, and
+// whether an attempt of its first sub-request was sent that may have started.
+func (r *Router) IsKept(now grclock.Millis, id grident.QueryID) (kept, sent bool) {
+	q := r.queries[id]
+	if q == nil || !q.atMostOnce {
+		return false, false
+	}
+	history := r.dispatchers[q.dispatchers[0]].AttemptHistory(now, grdispatch.SubRequestKey{Query: id})
+	return true, history.Sent > 0
+}
+
 // SubRequestTarget returns the key range and the snapshot that a sub-request must be
 // sent with.
 func (r *Router) SubRequestTarget(key grdispatch.SubRequestKey) (shard grsnapshot.Range, snapshot grsnapshot.Snapshot, ok bool) {
--- a/transport/grnode/event.go
+++ b/transport/grnode/event.go
@@ -34,6 +34,14 @@
 	result        chan<- grrouter.Result // has room for all results
 }
 
+// callerID returns the id that the caller gave to the request; "" if it gave none.
+func (p *pendingRequest) callerID() grident.RequestID {
+	if p.route != nil {
+		return p.route.ID
+	}
+	return p.requestID
+}
+
 func (p *pendingRequest) apply(l *routerLoop, now grclock.Millis) {
 	switch {
 	case p.route != nil:
@@ -51,7 +59,9 @@
 type requestCancelled struct{ number uint64 }
 
 func (e *requestCancelled) apply(l *routerLoop, now grclock.Millis) {
-	l.router.Cancel(now, l.queryIDs[e.number], &l.out)
+	id := l.queryIDs[e.number]
+	l.router.Cancel(now, id, &l.out)
+	l.logKept(now, id)
 }
 
 // remainderRequested requests want more partial results of a group.
--- a/transport/grnode/outcome.go
+++ b/transport/grnode/outcome.go
@@ -6,6 +6,8 @@
 
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grrouter"
+	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grident"
 	"geraniumrouter/transport/grmetric"
 )
 
@@ -68,6 +70,13 @@
 		zap.Int64("retry_after_ms", int64(result.RetryAfter)))
 }
 
+// logKept logs that a request goes on although its caller has disconnected.
+func (l *routerLoop) logKept(now grclock.Millis, id grident.QueryID) {
+	if kept, sent := l.router.IsKept(now, id); kept {
+		l.node.Log.Info("caller disconnected", zap.String("request_id", string(l.pending[id].callerID())), zap.Bool("sent", sent))
+	}
+}
+
 // logResend logs that a request that is not idempotent is sent again, and the outcome that
 // proves that it has not run.
 func (l *routerLoop) logResend(r *grdispatch.Resend) {
@@ -75,12 +84,8 @@
 	if pending == nil {
 		return
 	}
-	id := pending.requestID
-	if pending.route != nil {
-		id = pending.route.ID
-	}
 	l.node.Log.Info("request sent again",
-		zap.String("request_id", string(id)), zap.String("searcher", string(r.Searcher)),
+		zap.String("request_id", string(pending.callerID())), zap.String("searcher", string(r.Searcher)),
 		zap.Uint32("connection", uint32(r.Conn)), zap.Uint64("attempt", uint64(r.Attempt)),
 		zap.Stringer("last", r.Outcome), zap.Int64("after_ms", int64(r.Age)))
 }
