--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -207,6 +207,7 @@
 	heldBack      bool             // a rate limit kept it from a searcher
 	snapshotGone  bool             // a searcher reported the snapshot as gone
 	mayHaveRun    bool             // a searcher may have started an attempt
+	withdrawn     bool             // nobody waits for it; it is not sent again
 	lastFailure   *granswer.Answer // error response of the last searcher that failed
 	attemptEnded  bool             // an attempt ended without an answer
 	lastKind      ReplyKind        // outcome of the last such attempt
--- a/coordination/grdispatch/reply.go
+++ b/coordination/grdispatch/reply.go
@@ -94,7 +94,7 @@
 	if s.active > 0 || s.queued {
 		return
 	}
-	if !d.mayRetry(now, s, reply.Kind) {
+	if s.withdrawn || !d.mayRetry(now, s, reply.Kind) {
 		d.finish(now, index, d.doneKind(s, NotStarted), out)
 		return
 	}
--- a/coordination/grrouter/cancel_test.go
+++ b/coordination/grrouter/cancel_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"geraniumrouter/coordination/grdispatch"
+	"geraniumrouter/state/grerror"
+	"geraniumrouter/state/grident"
 )
 
 // TestCancel checks that the attempts of a query are cancelled when its caller has
@@ -41,3 +43,71 @@
 		t.Errorf("results %+v, want none and the request still in flight", g.out.Results)
 	}
 }
+
+// startOnce starts a request that is not idempotent, always to the same shard, and returns
+// its attempt, if one was sent.
+func (g *testRouter) startOnce() (id grident.QueryID, sent []pendingAttempt) {
+	g.pending = nil
+	id = g.router.StartRequest(g.now, Request{Collection: "c", Key: 3, Deadline: g.now + 5000}, &g.out)
+	g.executeActions()
+	return id, g.pending
+}
+
+// fillSearchers starts requests until one has to wait for a searcher. It returns the attempts
+// in flight and the waiting request.
+func (g *testRouter) fillSearchers() (inFlight []pendingAttempt, waiting grident.QueryID) {
+	for {
+		id, sent := g.startOnce()
+		if len(sent) == 0 {
+			return inFlight, id
+		}
+		inFlight = append(inFlight, sent...)
+	}
+}
+
+// TestCallerLeftBeforeSend guards against sending a request that is not idempotent after its
+// caller has disconnected: it waited for a searcher.
+func TestCallerLeftBeforeSend(t *testing.T) {
+	g := newTestRouter()
+	inFlight, waiting := g.fillSearchers()
+	behind, _ := g.startOnce()
+	g.router.Cancel(g.now, waiting, &g.out)
+	if len(g.out.Results) != 1 || g.out.Results[0].ID != waiting || g.out.Results[0].Outcome != NotRun || g.out.Results[0].Code != grerror.CallerLeft {
+		t.Fatalf("results %+v, want one that tells that the request was not run", g.out.Results)
+	}
+	g.out.Reset()
+	g.router.HandleReply(g.now, inFlight[0].dispatcher, grdispatch.Reply{Attempt: inFlight[0].attempt, Kind: grdispatch.OK, ReusableConn: true}, &g.out)
+	sent := 0
+	for _, a := range g.out.Actions {
+		if a.Kind == grdispatch.Send {
+			sent++
+			if a.Key.Query != behind {
+				t.Errorf("sent request %d, want %d, whose caller is still there", a.Key.Query, behind)
+			}
+		}
+	}
+	if sent != 1 {
+		t.Errorf("%d requests sent, want the one behind the dropped one", sent)
+	}
+}
+
+// TestCallerLeftBeforeResend guards against sending a request that is not idempotent again
+// after its caller has disconnected: its first attempt was refused after that.
+func TestCallerLeftBeforeResend(t *testing.T) {
+	g := newTestRouter()
+	id, sent := g.startOnce()
+	g.router.Cancel(g.now, id, &g.out)
+	if len(g.out.Results) != 0 {
+		t.Fatalf("results %+v while a searcher may run the request, want none", g.out.Results)
+	}
+	g.router.HandleReply(g.now, sent[0].dispatcher, grdispatch.Reply{Attempt: sent[0].attempt, Kind: grdispatch.Shed, ReusableConn: true}, &g.out)
+	g.router.Tick(g.now+1000, &g.out)
+	for _, a := range g.out.Actions {
+		if a.Kind == grdispatch.Send {
+			t.Errorf("sent again: %+v", a)
+		}
+	}
+	if len(g.out.Results) != 1 || g.out.Results[0].Outcome != NotRun {
+		t.Errorf("results %+v, want one that tells that the request was not run", g.out.Results)
+	}
+}
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -25,6 +25,7 @@
 	started        bool                  // some searcher may have executed a part of it
 	snapshotGone   bool                  // a searcher reported that it no longer holds the pinned snapshot
 	atMostOnce     bool
+	callerLeft     bool // its caller has disconnected
 	submitting     bool // its sub-requests are being submitted; the query ends only afterwards
 	reruns         int
 	startedAt      grclock.Millis
@@ -76,13 +77,26 @@
 	return q.id
 }
 
-// Cancel ends a query whose caller has disconnected, so that its sub-requests no
-// longer occupy slots. A request that is not idempotent continues, because its outcome
-// must be recorded.
+// Cancel ends a query whose caller has disconnected, so that its sub-requests no longer
+// occupy slots. A request that is not idempotent ends if no searcher can have started it.
+// Otherwise it continues, because its outcome must be recorded, but is not sent again.
 func (r *Router) Cancel(now grclock.Millis, id grident.QueryID, out *Output) {
-	if q := r.queries[id]; q != nil && !q.atMostOnce {
+	q := r.queries[id]
+	if q == nil {
+		return
+	}
+	q.callerLeft = true
+	if !q.atMostOnce {
 		r.Counters.Cancelled++
 		r.finish(now, q, out)
+		return
+	}
+	for shard, dispatcher := range q.dispatchers {
+		r.dispatchers[dispatcher].Withdraw(now, grdispatch.SubRequestKey{Query: id, Shard: int32(shard)}, &out.dispatcher)
+		r.collect(now, dispatcher, out)
+	}
+	if r.queries[id] == nil {
+		r.Counters.Cancelled++
 	}
 }
 
@@ -325,6 +339,9 @@
 		result.Coverage, result.Snapshot = q.coverage.Fraction(), q.pinned.Snapshot
 		r.setOutcome(q, &result)
 	}
+	if q.callerLeft && (result.Outcome == NotRun || result.Outcome == Unknown && !q.atMostOnce) {
+		result.Code = grerror.CallerLeft
+	}
 	r.countOutcome(result.Outcome)
 	r.admission.Release(q.collectionName)
 	out.Results = append(out.Results, result)
--- a/state/grerror/error.go
+++ b/state/grerror/error.go
@@ -27,6 +27,7 @@
 	AlreadyClaimed    Code = "already_claimed"
 	NoSearcher        Code = "no_searcher"
 	Lost              Code = "lost"
+	CallerLeft        Code = "caller_left"
 	Conflict          Code = "conflict"
 	BadPreset         Code = "bad_preset"
 	UnknownPreset     Code = "unknown_preset"
@@ -61,6 +62,7 @@
 	CoverageTooLow:    "less was found than the preset asks for",
 	NoSearcher:        "no searcher took it",
 	Lost:              "it may have run; no answer came",
+	CallerLeft:        "its caller disconnected before it was sent",
 }
 
 // DefaultText returns the default text of a code, or "" for codes that are always reported
--- a/transport/grnode/event.go
+++ b/transport/grnode/event.go
@@ -7,6 +7,7 @@
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/state/grclock"
+	"geraniumrouter/state/grerror"
 	"geraniumrouter/state/grident"
 	"geraniumrouter/state/grpreset"
 	"geraniumrouter/state/grroutes"
@@ -44,6 +45,8 @@
 
 func (p *pendingRequest) apply(l *routerLoop, now grclock.Millis) {
 	switch {
+	case p.ctx.Err() != nil: // Its caller disconnected meanwhile.
+		p.result <- grrouter.Result{Outcome: grrouter.NotRun, Code: grerror.CallerLeft}
 	case p.route != nil:
 		p.route.Correlation = grident.CorrelationOf(p.route.ID)
 		l.track(p, l.router.StartRoute(now, p.route.RouteRequest, &l.out))
