--- a/coordination/grdrain/drain.go
+++ b/coordination/grdrain/drain.go
@@ -38,6 +38,10 @@
 // requests still arriving are refused with an answer instead of a closed connection.
 const idleBeforeClosing = 200 * grclock.Millisecond
 
+// ClosingTime is the time from the last answer to the end of a shutdown, without the time
+// to close the callers' connections.
+const ClosingTime = idleBeforeClosing + notifyDuration
+
 // Drain is the state of a graceful shutdown. Set TTL before Start.
 type Drain struct {
 	TTL        grclock.Millis // how long callers cache an entry list
--- a/coordination/grrouter/cancel_test.go
+++ b/coordination/grrouter/cancel_test.go
@@ -111,3 +111,36 @@
 		t.Errorf("results %+v, want one that tells that the request was not run", g.out.Results)
 	}
 }
+
+// TestEndBy guards against requests that a planned stop leaves without an answer: each ends by
+// the given time, and what was not sent by then is not sent after it.
+func TestEndBy(t *testing.T) {
+	g := newTestRouter()
+	inFlight, waiting := g.fillSearchers()
+	g.out.Reset()
+	endBy := g.now + 500
+	g.router.EndBy(endBy)
+	later, _ := g.startOnce()
+	g.router.Tick(endBy-1, &g.out)
+	if len(g.out.Results) != 0 {
+		t.Fatalf("results %+v before the time", g.out.Results)
+	}
+	g.router.Tick(endBy, &g.out)
+	outcomes := make(map[Outcome]int)
+	for _, result := range g.out.Results {
+		outcomes[result.Outcome]++
+		if (result.ID == waiting || result.ID == later) && result.Outcome != NotRun {
+			t.Errorf("a waiting request ends as %v, want not_run", result.Outcome)
+		}
+	}
+	if outcomes[Unknown] != len(inFlight) || outcomes[NotRun] != 2 || g.router.InFlight() != 0 {
+		t.Errorf("outcomes %v, %d in flight; want %d unknown and 2 not run", outcomes, g.router.InFlight(), len(inFlight))
+	}
+	g.out.Reset()
+	g.router.HandleReply(endBy+1, inFlight[0].dispatcher, grdispatch.Reply{Attempt: inFlight[0].attempt, Kind: grdispatch.OK, ReusableConn: true}, &g.out)
+	for _, a := range g.out.Actions {
+		if a.Kind == grdispatch.Send {
+			t.Errorf("sent after the time: %+v", a)
+		}
+	}
+}
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -100,6 +100,26 @@
 	}
 }
 
+// EndBy ends every request by the given time, those that start later included: a planned stop
+// leaves no more time. What has not been started by then has not run.
+func (r *Router) EndBy(at grclock.Millis) {
+	r.endBy = at
+	for _, q := range r.queries {
+		if q.deadline > at {
+			q.deadline = at
+			r.deadlines.Push(timer{at, q.id})
+		}
+	}
+}
+
+// limitedDeadline returns the deadline of a request, limited by EndBy.
+func (r *Router) limitedDeadline(deadline grclock.Millis) grclock.Millis {
+	if r.endBy > 0 {
+		return min(deadline, r.endBy)
+	}
+	return deadline
+}
+
 // IsKept reports whether a query continues although its caller has disconnected, and
 // whether an attempt of its first sub-request was sent that may have started.
 func (r *Router) IsKept(now grclock.Millis, id grident.QueryID) (kept, sent bool) {
@@ -135,7 +155,7 @@
 	}
 	q.policy = active.Preset.PolicyFor(name)
 	q.generation = active.Generation
-	q.deadline = min(deadline, now+q.policy.Deadline) - r.DeadlineMargin
+	q.deadline = r.limitedDeadline(min(deadline, now+q.policy.Deadline) - r.DeadlineMargin)
 	return q, ""
 }
 
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -116,7 +116,7 @@
 	r.Counters.Queries++
 	q := r.newQuery()
 	q.startedAt = now
-	q.deadline = min(req.Deadline, now+req.Route.Timeout) - r.DeadlineMargin
+	q.deadline = r.limitedDeadline(min(req.Deadline, now+req.Route.Timeout) - r.DeadlineMargin)
 	q.atMostOnce = !req.Route.Idempotent
 	q.generation = grident.Generation(req.Table.Version)
 	q.route = r.planRoute(now, &req)
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -120,6 +120,7 @@
 	dispatchers       []*grdispatch.Dispatcher
 	serviceNames      []grident.Service
 	queries           map[grident.QueryID]*query
+	endBy             grclock.Millis // time by which every request ends; 0: no limit
 	freeQueries       []*query
 	deadlines         grheap.Heap[timer]
 	dispatcherWakes   grheap.Heap[dispatcherWake]
--- a/transport/grnode/drain.go
+++ b/transport/grnode/drain.go
@@ -36,6 +36,9 @@
 		return
 	}
 	c.drain.Start(now)
+	if limit := c.node.RouteSettings.DrainAnswerTime; limit > 0 {
+		c.node.post(&drainStarted{now + limit})
+	}
 	c.state.Leave(now, false, &c.out)
 	c.enterPhase(grdrain.Leaving)
 }
--- a/transport/grnode/event.go
+++ b/transport/grnode/event.go
@@ -107,6 +107,12 @@
 	}
 }
 
+// drainStarted reports that this instance shuts down and must have answered every request by
+// the given time.
+type drainStarted struct{ endBy grclock.Millis }
+
+func (e *drainStarted) apply(l *routerLoop, _ grclock.Millis) { l.router.EndBy(e.endBy) }
+
 // mapUpdated carries a new shard map of a collection.
 type mapUpdated struct{ *grsnapshot.ShardMap }
 
--- a/transport/grnode/routes.go
+++ b/transport/grnode/routes.go
@@ -33,6 +33,7 @@
 type RouteSettings struct {
 	ExtraAttempts      grstat.GlobalLimit // on extra attempts to each service, over all instances
 	DrainAcceptTime    grclock.Millis     // how long a shutdown accepts new requests
+	DrainAnswerTime    grclock.Millis     // from the start of a shutdown until every request has its final answer; 0: no limit
 	PartProcessingTime float64            // ms per partial result; also the estimate for peers
 }
 
