--- a/transport/grnode/gather.go
+++ b/transport/grnode/gather.go
@@ -28,6 +28,7 @@
 // delegatedGroup is such a group between its first answer and the remaining partial
 // results.
 type delegatedGroup struct {
+	released bool // the group was released before the call that delegates it was handled
 	number   uint64
 	results  chan grrouter.Result
 	deadline grclock.Millis
@@ -39,9 +40,7 @@
 	key := groupKey{call.From, call.Query, call.Group}
 	switch {
 	case call.Release:
-		if g := n.removeGroup(key); g != nil {
-			n.post(&requestCancelled{g.number})
-		}
+		n.releaseGroup(key)
 		return grwire.GatherAnswer{}
 	case call.RequestRest:
 		return n.gatherRemainder(key, call.RestWanted)
@@ -56,10 +55,13 @@
 		deadline: request.Deadline, top: request.Route.TopCount,
 	}
 	pending := &pendingRequest{ctx: context.Background(), number: g.number, route: request, result: g.results}
+	if !n.storeGroup(key, g) {
+		return grwire.GatherAnswer{Refused: true}
+	}
 	if !n.events.TryPut(pending) {
+		n.removeGroup(key)
 		return grwire.GatherAnswer{Refused: true}
 	}
-	n.storeGroup(key, g)
 	answer, more := n.awaitGroup(g)
 	if !more {
 		n.removeGroup(key)
@@ -145,9 +147,23 @@
 	return answer
 }
 
+// releaseMemory is how long the release of a group is remembered that is not known yet: calls
+// are handled in parallel, so a release may overtake its group.
+const releaseMemory = 2 * grclock.Second
+
+// releaseGroup cancels a group that the other instance no longer needs.
+func (n *Node) releaseGroup(key groupKey) {
+	if g := n.removeGroup(key); g != nil {
+		n.post(&requestCancelled{g.number})
+		return
+	}
+	n.storeGroup(key, &delegatedGroup{released: true, deadline: n.Clock.Now() + releaseMemory})
+}
+
 // storeGroup stores a group that may be released or whose remainder may be requested,
-// and removes groups whose deadline has passed.
-func (n *Node) storeGroup(key groupKey, g *delegatedGroup) {
+// and removes groups whose deadline has passed. It reports false if the group was released
+// already.
+func (n *Node) storeGroup(key groupKey, g *delegatedGroup) bool {
 	n.groupsMu.Lock()
 	defer n.groupsMu.Unlock()
 	if n.groups == nil {
@@ -159,7 +175,11 @@
 			delete(n.groups, k)
 		}
 	}
+	if earlier := n.groups[key]; earlier != nil && earlier.released {
+		return false
+	}
 	n.groups[key] = g
+	return true
 }
 
 // removeGroup removes a group and returns it, or nil if it is not stored.
@@ -177,7 +197,7 @@
 	n.groupsMu.Lock()
 	g := n.groups[key]
 	n.groupsMu.Unlock()
-	if g == nil {
+	if g == nil || g.released {
 		return grwire.GatherAnswer{}
 	}
 	n.post(&remainderRequested{g.number, want})
