--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -201,7 +201,7 @@
 			c.completeStartup()
 		}
 		c.suspectUnresponsive(now)
-		c.removeDue(now, FromBefore)
+		c.removeDue(now, Delayed)
 		c.updateDivisor(now)
 	})
 }
--- a/coordination/grcluster/registry.go
+++ b/coordination/grcluster/registry.go
@@ -23,14 +23,14 @@
 
 // Kinds of reads.
 const (
-	FromList   ReadKind = iota // a complete list has or lacks the entry
-	FromWatch                  // a change after the list
-	FromBefore                 // another instance holds an entry of before the list, which lacks it
+	FromList  ReadKind = iota // a complete list has or lacks the entry
+	FromWatch                 // a change after the list
+	Delayed                   // removed after a grace period, or because another instance holds an entry of before the list
 )
 
 // String returns the name of the kind in logs.
 func (k ReadKind) String() string {
-	return [...]string{FromList: "list", FromWatch: "watch", FromBefore: "before_list"}[k]
+	return [...]string{FromList: "list", FromWatch: "watch", Delayed: "delayed"}[k]
 }
 
 // SearcherChange is a change of a searcher that this instance read from the platform, for
--- a/coordination/grrouter/query.go
+++ b/coordination/grrouter/query.go
@@ -77,60 +77,6 @@
 	return q.id
 }
 
-// Cancel ends a query whose caller has disconnected, so that its sub-requests no longer
-// occupy slots. A request that is not idempotent ends if no searcher can have started it.
-// Otherwise it continues, because its outcome must be recorded, but is not sent again.
-func (r *Router) Cancel(now grclock.Millis, id grident.QueryID, out *Output) {
-	q := r.queries[id]
-	if q == nil {
-		return
-	}
-	q.callerLeft = true
-	if !q.atMostOnce {
-		r.Counters.Cancelled++
-		r.finish(now, q, out)
-		return
-	}
-	for shard, dispatcher := range q.dispatchers {
-		r.dispatchers[dispatcher].Withdraw(now, grdispatch.SubRequestKey{Query: id, Shard: int32(shard)}, &out.dispatcher)
-		r.collect(now, dispatcher, out)
-	}
-	if r.queries[id] == nil {
-		r.Counters.Cancelled++
-	}
-}
-
-// EndBy ends every request by the given time, those that start later included: a planned stop
-// leaves no more time. What has not been started by then has not run.
-func (r *Router) EndBy(at grclock.Millis) {
-	r.endBy = at
-	for _, q := range r.queries {
-		if q.deadline > at {
-			q.deadline = at
-			r.deadlines.Push(timer{at, q.id})
-		}
-	}
-}
-
-// limitedDeadline returns the deadline of a request, limited by EndBy.
-func (r *Router) limitedDeadline(deadline grclock.Millis) grclock.Millis {
-	if r.endBy > 0 {
-		return min(deadline, r.endBy)
-	}
-	return deadline
-}
-
-// IsKept reports whether a query continues although its caller has disconnected, and
-// whether an attempt of its first sub-request was sent that may have started.
-func (r *Router) IsKept(now grclock.Millis, id grident.QueryID) (kept, sent bool) {
-	q := r.queries[id]
-	if q == nil || !q.atMostOnce {
-		return false, false
-	}
-	history := r.dispatchers[q.dispatchers[0]].AttemptHistory(now, grdispatch.SubRequestKey{Query: id})
-	return true, history.Sent > 0
-}
-
 // SubRequestTarget returns the key range and the snapshot that a sub-request must be
 // sent with.
 func (r *Router) SubRequestTarget(key grdispatch.SubRequestKey) (shard grsnapshot.Range, snapshot grsnapshot.Snapshot, ok bool) {
