--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -201,6 +201,9 @@
 			c.completeStartup()
 		}
 		c.suspectUnresponsive(now)
+		if !c.IsWatcher() {
+			c.registry.OthersRead(now)
+		}
 		c.removeDue(now, Delayed)
 		c.updateDivisor(now)
 	})
--- a/coordination/grcluster/registry_test.go
+++ b/coordination/grcluster/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"geraniumrouter/coordination/grconnlimit"
 	"geraniumrouter/coordination/grgossip"
 	"geraniumrouter/coordination/grregistry"
 	"geraniumrouter/state/grclock"
@@ -216,3 +217,28 @@
 	r.change(0, removed("a", 6))
 	r.expect(t, "after an older removal", "a", true)
 }
+
+// TestOutageEndsWhenOthersRead guards against an instance that holds the platform for away for
+// ever: its last read failed, and others read since.
+func TestOutageEndsWhenOthersRead(t *testing.T) {
+	r := newListReader()
+	r.WatcherCount = 1
+	r.list(0, 2, listed("a", 1))
+	other := Member{Member: grconnlimit.Member{ID: "other", Incarnation: 1}, Domain: "d2"}
+	item := Item{Key: memberKey("other"), Version: versionOf(1, 0, Live), Value: Value{Kind: MemberKind, Member: other}}
+	r.Receive(0, Message{Items: grgossip.Message[Value]{Items: []Item{item}}}, &r.out)
+	r.ListFailed()
+	r.SetPlatformReachable(1000, false, &r.out)
+	r.Tick(1100, &r.out)
+	if !r.registry.AwaitsReturns(1100 + grregistry.GracePeriod) {
+		t.Fatal("the outage has ended while this instance cannot read")
+	}
+	r.SetPlatformReachable(2000, true, &r.out) // Another kind of objects was read.
+	if r.IsWatcher() {
+		t.Fatal("this instance watches, want the other one")
+	}
+	r.Tick(2100, &r.out)
+	if r.registry.AwaitsReturns(2100 + grregistry.GracePeriod) {
+		t.Error("the outage goes on although the other instance reads")
+	}
+}
--- a/coordination/grregistry/registry.go
+++ b/coordination/grregistry/registry.go
@@ -72,6 +72,14 @@
 		r.readingSince = now
 	}
 	r.readUpTo = max(r.readUpTo, upTo)
+	r.endOutage(now)
+}
+
+// OthersRead records that other instances read the platform in place of this one, which ends an
+// outage too.
+func (r *Registry) OthersRead(now grclock.Millis) { r.endOutage(now) }
+
+func (r *Registry) endOutage(now grclock.Millis) {
 	if !r.outage {
 		return
 	}
