--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -100,6 +100,8 @@
 	f.currentTest = t
 	ctx, stop := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
+	defer wait.Wait() // Also if the test fails.
+	defer stop()
 	for range 4 {
 		wait.Add(1)
 		go func() {
@@ -125,8 +127,6 @@
 		answer := f.query("dispatch")
 		return answer.Snapshot != nil && answer.Snapshot.Index == 6
 	})
-	stop()
-	wait.Wait()
 	f.indexVersions["dispatch"] = 6
 }
 
