--- a/transport/grnode/caller_left_test.go
+++ b/transport/grnode/caller_left_test.go
@@ -4,24 +4,15 @@
 	"context"
 	"testing"
 
-	"go.uber.org/zap"
-
 	"geraniumrouter/coordination/grrouter"
-	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grerror"
 	"geraniumrouter/state/grident"
-	"geraniumrouter/state/grsettings"
 )
 
 // TestCallerLeftBeforeStart guards against starting a request whose caller disconnected while
 // its claim was being made: it is reported as not run, so that the claim is released.
 func TestCallerLeftBeforeStart(t *testing.T) {
-	n := &Node{
-		Settings: grsettings.Settings{Instance: "entry-1", FailureDomain: "d1", CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2"},
-		Log:      zap.NewNop(), Clock: grclock.System(),
-	}
-	n.prepare(context.Background())
-	defer n.group.Stop()
+	n := prepareNode(t, nil)
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
 	result := make(chan grrouter.Result, 1)
--- a/transport/grnode/ready_test.go
+++ b/transport/grnode/ready_test.go
@@ -1,26 +1,16 @@
 package grnode
 
 import (
-	"context"
 	"testing"
 
-	"go.uber.org/zap"
-
 	"geraniumrouter/coordination/grcluster"
-	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grroutes"
-	"geraniumrouter/state/grsettings"
 )
 
 // TestReadyWithoutTick guards against an instance that becomes ready only on the next tick of
 // the control loop, or before both a table and a searcher are available.
 func TestReadyWithoutTick(t *testing.T) {
-	n := &Node{
-		Settings: grsettings.Settings{Instance: "entry-1", FailureDomain: "d1", CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2"},
-		Log:      zap.NewNop(), Clock: grclock.System(), Adapter: struct{ Adapter }{},
-	}
-	n.prepare(context.Background())
-	defer n.group.Stop()
+	n := prepareNode(t, struct{ Adapter }{})
 	now := n.Clock.Now()
 	n.controlLoop.state.Init(now, &n.controlLoop.out)
 	n.controlLoop.handle(now, &controlEvent{table: &grroutes.Table{Version: 1, Services: []grroutes.Service{{Name: "s", ConnLimit: 9}}}})
--- a/transport/grnode/release_test.go
+++ b/transport/grnode/release_test.go
@@ -1,24 +1,15 @@
 package grnode
 
 import (
-	"context"
 	"testing"
 
-	"go.uber.org/zap"
-
 	"geraniumrouter/protocol/grwire"
-	"geraniumrouter/state/grclock"
-	"geraniumrouter/state/grsettings"
 )
 
 // TestReleaseOvertakesGroup guards against work for a caller that has left: the release of a
 // delegated group is handled before the call that delegates it.
 func TestReleaseOvertakesGroup(t *testing.T) {
-	n := &Node{
-		Settings: grsettings.Settings{Instance: "entry-1", FailureDomain: "d1", CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2"},
-		Log:      zap.NewNop(), Clock: grclock.System(), Adapter: struct{ Adapter }{},
-	}
-	n.prepare(context.Background())
+	n := prepareNode(t, struct{ Adapter }{})
 	n.onGather(grwire.GatherRequest{From: "entry-2/1", Query: 7, Group: 1, Release: true})
 	answered := make(chan grwire.GatherAnswer, 1)
 	go func() { // Tests may start goroutines directly, without grgroup.
@@ -26,7 +17,6 @@
 	}()
 	other := n.Clock.NewTimer(500)
 	defer other.Stop()
-	defer n.group.Stop()
 	select {
 	case answer := <-answered:
 		if !answer.Refused {
