review: look-ups go on naming machines that are lost together with the four before them

Tried: 6 of 11 instances switched off for good, those that follow one another in the order of heartbeats. A first form of the script let its silent listeners be collected, so that connections were refused; it held then.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/standin-2 ] && [ -x target/geraniumrouter ] || exit 2
-exec target/standin-2 retry-after review/9/record.txt
+exec target/standin-2 directory review/9/record.txt
--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -197,7 +197,7 @@
 	if err != nil {
 		return "", err
 	}
-	const rest = 2 * time.Second
+	const rest = 4 * time.Second
 	var mu sync.Mutex
 	var shedding atomic.Bool
 	sender := map[string]string{}           // instance by request
@@ -210,22 +210,22 @@
 		defer mu.Unlock()
 		f := sender[id]
 		for _, at := range turnedAway[f] {
-			if age := now.Sub(at); age > rest/4 && age < rest {
+			if age := now.Sub(at); age > 500*time.Millisecond && age < rest {
 				if early[f] == nil {
 					early[f] = map[time.Time]int{}
 				}
 				early[f][at]++
 				most = max(most, early[f][at])
-				d.note("%s gets %s from %s, %d ms after it answered 503 with Retry-After: 2", searchers[0].id, id, f, age.Milliseconds())
+				d.note("%s gets %s from %s, %d ms after it answered 503 with Retry-After: 4", searchers[0].id, id, f, age.Milliseconds())
 			}
 		}
 		if got++; !shedding.Load() || !inShare(got) {
 			return false
 		}
 		turnedAway[f] = append(turnedAway[f], now)
-		d.note("%s answers 503 with Retry-After: 2 to %s, for %s", searchers[0].id, f, id)
+		d.note("%s answers 503 with Retry-After: 4 to %s, for %s", searchers[0].id, f, id)
 		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("Retry-After", "2")
+		w.Header().Set("Retry-After", "4")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return true
 	}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -32,9 +32,10 @@
 
 // front is an instance of the system.
 type front struct {
-	name, ip, callers, readiness string
-	cmd                          *exec.Cmd
-	done                         chan struct{}
+	name, ip, callers, readiness, control, directory string
+	cmd                                              *exec.Cmd
+	done                                             chan struct{}
+	silent                                           []net.Listener // in place of a machine that is switched off
 }
 
 var zones = []string{"obihiro", "kushiro", "nakashibetsu", "shihoro"}
@@ -155,7 +156,7 @@
 	for i, p := range places {
 		a := p.addresses
 		ip, _, _ := net.SplitHostPort(a[0])
-		f := &front{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: ip, callers: a[0], readiness: a[1], done: make(chan struct{})}
+		f := &front{name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i+1), ip: ip, callers: a[0], readiness: a[1], control: a[2], directory: a[3], done: make(chan struct{})}
 		file := filepath.Join(d.dir, f.name+".toml")
 		text := fmt.Sprintf(settings, f.name, ip, zones[i%len(zones)], strings.Join(seeds, ","), a[0], a[1], a[2], a[3], d.store.address)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 	"refused":     refused,
 	"path":        path,
 	"retry-after": retryAfter,
+	"directory":   directory,
 }
 
 func main() {
