--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -129,17 +129,7 @@
 	s.changed = make(chan struct{})
 }
 
-// remove deletes an object, and reports whether the store took it.
-func (s *store) remove(kind, name string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.state != storeServes {
-		return false
-	}
-	s.drop(kind, name)
-	return true
-}
-
+// drop deletes an object and reports whether it existed. The lock must be held.
 func (s *store) drop(kind, name string) bool {
 	o, held := s.kinds[kind][name]
 	if held {
