--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -103,7 +103,7 @@
 	}
 	var list []*searcher
 	for i := range 4 {
-		s, err := d.startSearcher("kafi81c", zones[i], 4, work)
+		s, err := d.startSearcher("kafi81c", d.site.zones[i], 4, work)
 		if err != nil {
 			return nil, err
 		}
