A status of a searcher that ran is no longer a promise that it did not

Callers saw: requests that are not idempotent, run by a searcher that failed with a signed 503 without X-Not-Executed, were answered 503, which promises "not run". Cause: the edge passed on any status of a signed answer. Ruled out: the instance's own 503, a run by a later attempt (the answers bore the signature; outcome "unknown"). Change: for requests that are not idempotent, 408, 421, 429 and 503 without proof are the outcome unproven_refusal: a failure of the searcher, never sent again, without answer. Idempotent requests are as before.

--- a/coordination/grdispatch/attempt_history.go
+++ b/coordination/grdispatch/attempt_history.go
@@ -43,6 +43,6 @@
 	return [...]string{
 		OK: "ok", Shed: "shed", Draining: "draining", Behind: "behind", Gone: "gone", Failed: "failed",
 		Cancelled: "cancelled", Refused: "refused", LostReply: "lost_reply", Dropped: "dropped",
-		Withheld: "withheld",
+		Withheld: "withheld", UnprovenRefusal: "unproven_refusal",
 	}[k]
 }
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -57,17 +57,18 @@
 
 // Outcomes of an attempt.
 const (
-	OK        ReplyKind = iota // records of the pinned snapshot
-	Shed                       // the searcher had no capacity and did not start
-	Draining                   // the searcher is draining and did not start
-	Behind                     // the searcher does not hold the snapshot yet
-	Gone                       // the searcher no longer holds the snapshot
-	Failed                     // the searcher returned an error
-	Cancelled                  // the searcher stopped it on request
-	Refused                    // no byte was sent
-	LostReply                  // sent, but the connection ended without an answer
-	Dropped                    // the attempt was abandoned and its connection closed on this side
-	Withheld                   // not sent, since the view by which the searcher was chosen had become too old
+	OK              ReplyKind = iota // records of the pinned snapshot
+	Shed                             // the searcher had no capacity and did not start
+	Draining                         // the searcher is draining and did not start
+	Behind                           // the searcher does not hold the snapshot yet
+	Gone                             // the searcher no longer holds the snapshot
+	Failed                           // the searcher returned an error
+	Cancelled                        // the searcher stopped it on request
+	Refused                          // no byte was sent
+	LostReply                        // sent, but the connection ended without an answer
+	Dropped                          // the attempt was abandoned and its connection closed on this side
+	Withheld                         // not sent, since the view by which the searcher was chosen had become too old
+	UnprovenRefusal                  // the status says that the searcher did not start, but nothing proves it; only of requests that are not idempotent
 )
 
 // notStarted reports whether the outcome proves that the searcher did not start.
--- a/coordination/grdispatch/reply.go
+++ b/coordination/grdispatch/reply.go
@@ -61,7 +61,7 @@
 		r.draining = true
 	case Withheld:
 		d.Counters.Withheld++
-	case Failed:
+	case Failed, UnprovenRefusal:
 		d.recordFailure(now, r)
 	case LostReply, Refused:
 		d.recordFailure(now, r)
@@ -92,7 +92,7 @@
 		return
 	case Gone:
 		s.snapshotGone = true
-	case Failed, LostReply, Dropped:
+	case Failed, LostReply, Dropped, UnprovenRefusal:
 		s.mayHaveRun = true
 	}
 	if reply.Answer != nil {
--- a/coordination/grdispatch/searcher.go
+++ b/coordination/grdispatch/searcher.go
@@ -333,7 +333,7 @@
 	failed := 0.0
 	switch kind {
 	case OK:
-	case Failed, LostReply, Shed:
+	case Failed, LostReply, Shed, UnprovenRefusal:
 		failed = 1
 	default:
 		return
