A searcher that says in its answers that it leaves gets no more requests

Callers saw: during an outage of the store, requests went on to a searcher that had said Server-Leaving more than drain_timeout_ms before; those that it has when it ends are lost. Cause: nothing read the field; only the entry in the store took a searcher out of use. Ruled out: an announcement revoked by the list or by gossip (none was ever made; both would have happened, as MarkSearcherLeaving compared runs with revisions). Change: any answer shown to be the searcher's counts. The dispatcher stops at once, and ends what no searcher is left for; the announcement is replicated as an item beside the list, for this run at this address. The router gets addresses with the searchers. Why this works: what a searcher says of itself is kept apart from what the list says, so nothing that is read or gossiped later can take it back but a restart or a move.

--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -61,6 +61,7 @@
 	MembersChanged   bool                   // the members or their states changed
 	SearcherChanges  []SearcherChange       // changes that this instance read from the platform
 	RateLimits       []RateLimit            // new rate limits of searchers, those published here included
+	Departures       []Departure            // new announcements of searchers, those made here included
 	Evacuations      []Evacuation           // failure domains that are evacuated from now on, or no longer
 }
 
@@ -68,7 +69,7 @@
 func (o *Output) Reset() {
 	*o = Output{
 		Messages: o.Messages[:0], ShardMaps: o.ShardMaps[:0], RateLimits: o.RateLimits[:0],
-		SearcherChanges: o.SearcherChanges[:0], Evacuations: o.Evacuations[:0],
+		SearcherChanges: o.SearcherChanges[:0], Evacuations: o.Evacuations[:0], Departures: o.Departures[:0],
 	}
 }
 
@@ -137,6 +138,7 @@
 	rateLimitsAt       map[grident.SearcherID]grclock.Millis // last publications of rate limits
 	eraListedAt        grclock.Millis                        // first list of the newest era that this instance read
 	copiedEntries      map[grident.SearcherID]copiedEntry    // see era.go
+	departures         map[grident.SearcherID]Departure      // newest announcement of each
 	coldEntries        map[grident.SearcherID]ColdEntry      // what entries say of the time for which searchers stay cold
 	unlistedRuns       map[grident.SearcherID]missingRun     // searchers of other instances that the platform does not list
 	missingRuns        map[grident.InstanceID]missingRun
@@ -164,6 +166,7 @@
 	c.copiedEntries = make(map[grident.SearcherID]copiedEntry)
 	c.missingRuns = make(map[grident.InstanceID]missingRun)
 	c.coldEntries = make(map[grident.SearcherID]ColdEntry)
+	c.departures = make(map[grident.SearcherID]Departure)
 	c.lease.Bound, c.registry.LapseTime = c.ViewBound, c.EntryLapseTime
 	c.lease.Evacuations = c.ReadsEvacuations
 	c.items.PushRounds, c.groupItems.PushRounds = pushRounds, pushRounds
@@ -363,6 +366,8 @@
 		c.carryOver(now, old, item)
 	case EvacuationKind:
 		c.evacuationChanged(now, old, item)
+	case DepartureKind:
+		c.departureChanged(item.Value.Departure)
 	case RateLimitKind:
 		c.out.RateLimits = append(c.out.RateLimits, item.Value.RateLimit)
 	case MemberKind:
--- a/coordination/grcluster/searcher.go
+++ b/coordination/grcluster/searcher.go
@@ -110,16 +110,6 @@
 	return hash
 }
 
-// MarkSearcherLeaving records that a run of a searcher has announced that it is
-// leaving.
-func (c *Cluster) MarkSearcherLeaving(now grclock.Millis, id grident.SearcherID, run grident.Incarnation, out *Output) {
-	c.runStep(now, out, func() {
-		if held, ok := c.items.Get(searcherKey(id)); ok && runOf(held.Version) == run {
-			c.advanceSearcher(now, id, Leaving)
-		}
-	})
-}
-
 // advanceSearcher advances a searcher to a later state of its run; earlier states are
 // ignored.
 func (c *Cluster) advanceSearcher(now grclock.Millis, id grident.SearcherID, state State) {
@@ -135,7 +125,8 @@
 	var list []SearcherStatus
 	c.items.All(func(item Item) {
 		if item.Value.Kind == SearcherKind && StateOf(item.Version) != Gone {
-			list = append(list, SearcherStatus{item.Value.Searcher, StateOf(item.Version)})
+			s := item.Value.Searcher
+			list = append(list, SearcherStatus{s, c.withDeparture(&s, StateOf(item.Version))})
 		}
 	})
 	slices.SortFunc(list, func(a, b SearcherStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/coordination/grcluster/value.go
+++ b/coordination/grcluster/value.go
@@ -23,6 +23,7 @@
 	RoutingTableKind                          // the routing table
 	RateLimitKind                             // the rate limit that a searcher states
 	EvacuationKind                            // a failure domain whose searchers get no requests
+	DepartureKind                             // a searcher's announcement that it leaves
 )
 
 // State is the state of a member or searcher.
@@ -76,6 +77,7 @@
 	RoutingTable     *grroutes.Table
 	RateLimit        RateLimit
 	EvacuatedDomain  grident.FailureDomain
+	Departure        Departure
 }
 
 // Item is an entry of the replicated map.
@@ -114,6 +116,7 @@
 func searcherKey(id grident.SearcherID) grgossip.Key   { return grgossip.Key("searcher/" + id) }
 func registeredKey(id grident.InstanceID) grgossip.Key { return grgossip.Key("registered/" + id) }
 func rateLimitKey(id grident.SearcherID) grgossip.Key  { return grgossip.Key("limit/" + id) }
+func departureKey(id grident.SearcherID) grgossip.Key  { return grgossip.Key("departure/" + id) }
 func shardMapKey(c grident.Collection) grgossip.Key    { return grgossip.Key("map/" + c) }
 
 func evacuationKey(d grident.FailureDomain) grgossip.Key { return grgossip.Key("evacuation/" + d) }
--- a/coordination/grdispatch/dispatch.go
+++ b/coordination/grdispatch/dispatch.go
@@ -149,7 +149,7 @@
 	d.recordUse(now, r)
 	r.inFlight++
 	d.sendCount++
-	id := d.newAttempt(attempt{sub: index, subGen: s.gen, searcher: searcher, conn: conn, sentAt: now})
+	id := d.newAttempt(attempt{sub: index, subGen: s.gen, searcher: searcher, run: r.Incarnation, conn: conn, sentAt: now})
 	s.attempts[s.sent], s.sentTo[s.sent] = id, searcher
 	s.sent++
 	s.active++
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -86,6 +86,7 @@
 	Records      []grsnapshot.Record
 	Answer       *granswer.Answer // in place of Records, for requests forwarded unchanged
 	ReusableConn bool             // the connection can be reused
+	Leaving      bool             // the searcher said that it leaves
 }
 
 // DoneKind is the outcome of a sub-request.
@@ -141,6 +142,7 @@
 	RateLimitChanges []RateLimitChange
 	RateLimitAsks    []RateLimitAsk
 	Resends          []Resend
+	Departures       []Departure
 	ColdChanges      []ColdChange
 }
 
@@ -148,7 +150,7 @@
 func (o *Output) Reset() {
 	o.Actions, o.Done = o.Actions[:0], o.Done[:0]
 	o.RateLimitChanges, o.RateLimitAsks, o.Resends = o.RateLimitChanges[:0], o.RateLimitAsks[:0], o.Resends[:0]
-	o.ColdChanges = o.ColdChanges[:0]
+	o.ColdChanges, o.Departures = o.ColdChanges[:0], o.Departures[:0]
 }
 
 // Dispatcher dispatches the sub-requests of one service. Set the exported fields and
@@ -223,6 +225,7 @@
 	sub       int32  // index in subs
 	subGen    uint32 // gen of the sub-request; if they differ, it has ended
 	searcher  int32
+	run       grident.Incarnation // of the searcher
 	conn      ConnID
 	sentAt    grclock.Millis
 }
--- a/coordination/grdispatch/reply.go
+++ b/coordination/grdispatch/reply.go
@@ -36,6 +36,7 @@
 	d.recordLoad(now, r, reply.Load)
 	d.recordRateLimit(now, r, reply.RateLimit, out)
 	d.recordColdAnswer(now, r, a.conn, reply.Cold, out)
+	d.recordLeaving(r, a, reply.Leaving, out)
 	span := now - a.sentAt
 	if reply.Kind == OK || a.cancelled {
 		d.latency.Add(span)
--- a/coordination/grdispatch/searcher.go
+++ b/coordination/grdispatch/searcher.go
@@ -11,6 +11,7 @@
 // Searcher describes one searcher of the service.
 type Searcher struct {
 	ID             grident.SearcherID
+	Address        grident.Address // a searcher that has moved counts as restarted
 	Domain         grident.FailureDomain
 	Slots          int
 	ConnLimit      int                 // limit of connections from this instance
@@ -79,7 +80,7 @@
 		known := len(d.searchers)
 		r := d.stateFor(now, s)
 		old := r.Searcher
-		if s.Incarnation != r.Incarnation {
+		if s.Incarnation != r.Incarnation || s.Address != r.Address {
 			r.draining, r.slowStartAt = false, now
 			r.rateLimit = searcherRateLimit{}
 			r.conns.retryAt, r.conns.reopenStep, r.conns.trial = min(r.conns.retryAt, now), 0, 0
--- a/coordination/grrouter/router.go
+++ b/coordination/grrouter/router.go
@@ -93,6 +93,7 @@
 	RateLimitRequests []RateLimitRequest
 	ColdChanges       []grdispatch.ColdChange
 	Resends           []grdispatch.Resend
+	Departures        []grdispatch.Departure
 	dispatcher        grdispatch.Output
 }
 
@@ -100,6 +101,7 @@
 func (o *Output) Reset() {
 	o.Actions, o.Results, o.Delegations = o.Actions[:0], o.Results[:0], o.Delegations[:0]
 	o.RateLimitChanges, o.RateLimitRequests, o.Resends = o.RateLimitChanges[:0], o.RateLimitRequests[:0], o.Resends[:0]
+	o.Departures = o.Departures[:0]
 	o.ColdChanges = o.ColdChanges[:0]
 }
 
@@ -337,6 +339,7 @@
 		resend.Service = dispatcher
 		out.Resends = append(out.Resends, resend)
 	}
+	out.Departures = append(out.Departures, out.dispatcher.Departures...)
 	for _, ask := range out.dispatcher.RateLimitAsks {
 		ask.Service = dispatcher
 		r.rateLimitAsks = append(r.rateLimitAsks, ask)
--- a/protocol/grwire/peer.go
+++ b/protocol/grwire/peer.go
@@ -77,6 +77,14 @@
 	Table            *TableWire            `cbor:"9,keyasint,omitempty"`
 	RateLimit        *RateLimitWire        `cbor:"10,keyasint,omitempty"`
 	EvacuatedDomain  string                `cbor:"11,keyasint,omitempty"`
+	Departure        *DepartureWire        `cbor:"12,keyasint,omitempty"`
+}
+
+// DepartureWire is a searcher's announcement that it leaves.
+type DepartureWire struct {
+	Searcher string `cbor:"1,keyasint,omitempty"`
+	Run      uint64 `cbor:"2,keyasint,omitempty"`
+	Address  string `cbor:"3,keyasint,omitempty"`
 }
 
 // MemberWire describes an entry instance.
@@ -254,6 +262,9 @@
 		w.RateLimit = rateLimitTo(&v.RateLimit)
 	case grcluster.EvacuationKind:
 		w.EvacuatedDomain = string(v.EvacuatedDomain)
+	case grcluster.DepartureKind:
+		d := &v.Departure
+		w.Departure = &DepartureWire{Searcher: string(d.Searcher), Run: uint64(d.Incarnation), Address: string(d.Address)}
 	}
 	return w
 }
@@ -291,6 +302,11 @@
 		v.RateLimit = rateLimitFrom(w.RateLimit)
 	case v.Kind == grcluster.EvacuationKind && w.EvacuatedDomain != "":
 		v.EvacuatedDomain = grident.FailureDomain(w.EvacuatedDomain)
+	case v.Kind == grcluster.DepartureKind && w.Departure != nil:
+		d := w.Departure
+		v.Departure = grcluster.Departure{
+			Searcher: grident.SearcherID(d.Searcher), Incarnation: grident.Incarnation(d.Run), Address: grident.Address(d.Address),
+		}
 	default:
 		return item, false
 	}
--- a/protocol/grwire/upstream.go
+++ b/protocol/grwire/upstream.go
@@ -91,7 +91,7 @@
 	if kind == grdispatch.OK && !sameSnapshotAndRange(request, response) {
 		return reply
 	}
-	reply.Kind = kind
+	reply.Kind, reply.Leaving = kind, kind == grdispatch.Draining
 	if kind == grdispatch.OK {
 		reply.Records = RecordsFrom(response.Records)
 	}
--- a/protocol/grwire/wire_test.go
+++ b/protocol/grwire/wire_test.go
@@ -68,6 +68,7 @@
 		Items: []grcluster.Item{
 			{Key: "m", Version: 1, Value: grcluster.Value{Kind: grcluster.MemberKind, Member: grcluster.Member{Member: member, PeerAddress: "p", CallerAddress: "c", Domain: "d", Capacity: 192}}},
 			{Key: "s", Version: 1, Value: grcluster.Value{Kind: grcluster.SearcherKind, Searcher: grcluster.Searcher{ID: "s/1", Incarnation: 1, Service: "s", Address: "a", Domain: "d", Slots: 2, ConnLimit: 25}}},
+			{Key: "l", Version: 1, Value: grcluster.Value{Kind: grcluster.DepartureKind, Departure: grcluster.Departure{Searcher: "s/1", Incarnation: 7, Address: "a"}}},
 			{Key: "p", Version: 1, Value: grcluster.Value{Kind: grcluster.PresetKind, Preset: &active}},
 			{Key: "x", Version: 1, Value: grcluster.Value{Kind: grcluster.ShardMapKind, ShardMap: shardMap}},
 		},
--- a/standin/grstandfleet/fault.go
+++ b/standin/grstandfleet/fault.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"geraniumrouter/coordination/grcluster"
 	"geraniumrouter/state/grclock"
 	"geraniumrouter/state/grident"
 	"geraniumrouter/state/grpreset"
@@ -103,7 +104,8 @@
 // MarkLeaving makes a member detect that a searcher is leaving.
 func (f *Fleet) MarkLeaving(i, searcher int) {
 	m := f.members[i]
-	m.cluster.MarkSearcherLeaving(f.Now, f.Platform.searchers[searcher].ID, 1, &m.out)
+	s := &f.Platform.searchers[searcher]
+	m.cluster.AnnounceDeparture(f.Now, grcluster.Departure{Searcher: s.ID, Incarnation: s.Incarnation, Address: s.Address}, &m.out)
 	m.applyEffects()
 }
 
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -61,7 +61,7 @@
 	message     *messageEvent
 	peerEvent   *grpeer.Event
 	members     []grcluster.Member
-	leaving     *leavingEvent
+	departure   *grcluster.Departure // announced by a searcher to this instance
 	// reducedTo is a divisor: the connections held are now within each connection limit
 	// divided by this.
 	reducedTo         int
@@ -88,12 +88,6 @@
 	answer  chan grwire.PeerMessage // has a capacity of one
 }
 
-// leavingEvent reports that a searcher announced its own shutdown.
-type leavingEvent struct {
-	id          grident.SearcherID
-	incarnation grident.Incarnation
-}
-
 // Intervals and sizes of the control loop.
 const (
 	controlQueueSize     = 4096 // events waiting for the control loop
@@ -215,8 +209,8 @@
 		c.handlePeerEvent(now, e.peerEvent)
 	case e.members != nil:
 		c.state.SetRegisteredMembers(now, e.members, &c.out)
-	case e.leaving != nil:
-		c.state.MarkSearcherLeaving(now, e.leaving.id, e.leaving.incarnation, &c.out)
+	case e.departure != nil:
+		c.state.AnnounceDeparture(now, *e.departure, &c.out)
 	case e.reducedTo == allConnsClosed:
 		c.state.Leave(now, true, &c.out)
 	case e.reducedTo > 0:
@@ -306,6 +300,7 @@
 		c.node.post(mapUpdated{m})
 	}
 	c.logSearcherChanges()
+	c.logDepartures()
 	c.logEvacuations()
 	for i := range c.out.RateLimits {
 		c.node.post(&rateLimitLearned{c.out.RateLimits[i]})
--- a/transport/grnode/event.go
+++ b/transport/grnode/event.go
@@ -97,10 +97,6 @@
 		l.openings.Ended(p.Dispatcher, p.SearcherIndex, p.Conn)
 		l.router.ConnFailed(now, p.Dispatcher, p.SearcherIndex, &l.out)
 	case grupstream.AttemptEnded:
-		if e.Reply.Kind == grdispatch.Draining {
-			s := l.router.Dispatcher(p.Dispatcher).SearcherAt(p.SearcherIndex)
-			l.node.controlLoop.post(controlEvent{leaving: &leavingEvent{s.ID, s.Incarnation}})
-		}
 		l.router.HandleReply(now, p.Dispatcher, e.Reply, &l.out)
 	case grupstream.Disconnected:
 		l.router.ConnLost(now, p.Dispatcher, p.SearcherIndex, p.Conn, &l.out)
@@ -124,13 +120,9 @@
 type serviceUpdated struct {
 	service   grident.Service
 	searchers []grdispatch.Searcher
-	addresses map[grident.SearcherID]grident.Address
 }
 
 func (e *serviceUpdated) apply(l *routerLoop, now grclock.Millis) {
-	for id, address := range e.addresses {
-		l.addresses[id] = address
-	}
 	l.router.SetService(now, e.service, e.searchers, &l.out)
 }
 
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -21,7 +21,6 @@
 	router         *grrouter.Router
 	pending        map[grident.QueryID]*pendingRequest
 	queryIDs       map[uint64]grident.QueryID // by pendingRequest.number
-	addresses      map[grident.SearcherID]grident.Address
 	out            grrouter.Output
 	openings       gropening.Queue
 	unsent         []unsent
@@ -51,7 +50,6 @@
 	l.pending = make(map[grident.QueryID]*pendingRequest)
 	l.queryIDs = make(map[uint64]grident.QueryID)
 	l.rateLimitAsks = make(map[*grwire.RateLimitRequest][]grdispatch.RateLimitAsk)
-	l.addresses = make(map[grident.SearcherID]grident.Address)
 	l.labelledRoutes = make(map[string]bool)
 	l.metrics.register(l.node.Metrics)
 }
@@ -141,6 +139,7 @@
 			l.sendRateLimitRequest(&l.out.RateLimitRequests[i])
 		}
 		l.publishRateLimitChanges()
+		l.publishDepartures()
 		l.logColdChanges(now)
 		l.out.Reset()
 		if len(l.unsent) == 0 {
@@ -161,13 +160,18 @@
 		l.node.pool.Close(place)
 	case grdispatch.CancelAttempt:
 		if l.node.Adapter == nil {
-			l.node.pool.Cancel(l.addresses[a.ID], a.Attempt)
+			l.node.pool.Cancel(l.addressOf(a), a.Attempt)
 		}
 	case grdispatch.Send:
 		l.send(place, a)
 	}
 }
 
+// addressOf returns the address of the searcher that an action concerns.
+func (l *routerLoop) addressOf(a *grdispatch.Action) grident.Address {
+	return l.router.Dispatcher(a.Service).SearcherAt(a.Searcher).Address
+}
+
 func (l *routerLoop) send(place grupstream.ConnKey, a *grdispatch.Action) {
 	pending := l.pending[a.Key.Query]
 	if pending != nil && pending.route != nil {
--- a/transport/grnode/node.go
+++ b/transport/grnode/node.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"geraniumrouter/coordination/grcluster"
 	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/coordination/grrouter"
 	"geraniumrouter/coordination/grstat"
@@ -204,7 +205,7 @@
 		return
 	}
 	if e.Load.Leaving {
-		n.controlLoop.post(controlEvent{leaving: &leavingEvent{e.Searcher, e.Incarnation}})
+		n.controlLoop.post(controlEvent{departure: &grcluster.Departure{Searcher: e.Searcher, Incarnation: e.Incarnation, Address: e.Address}})
 	}
 }
 
--- a/transport/grnode/opening.go
+++ b/transport/grnode/opening.go
@@ -43,6 +43,6 @@
 		}
 		searcher := dispatcher.SearcherAt(o.Searcher)
 		place := grupstream.ConnKey{Dispatcher: o.Service, SearcherIndex: o.Searcher, Conn: o.Conn}
-		l.node.pool.Open(place, l.addresses[searcher.ID], l.node.byteCounters("searcher", searcher.Domain))
+		l.node.pool.Open(place, searcher.Address, l.node.byteCounters("searcher", searcher.Domain))
 	}
 }
--- a/transport/grnode/opening_test.go
+++ b/transport/grnode/opening_test.go
@@ -32,8 +32,8 @@
 	for _, s := range table.Services {
 		id := grident.SearcherID(s.Name + "/1")
 		update := &serviceUpdated{
-			service: s.Name, searchers: []grdispatch.Searcher{{ID: id, Domain: "d1", Slots: 2, ConnLimit: 2}},
-			addresses: map[grident.SearcherID]grident.Address{id: grident.Address(listener.Addr().String())},
+			service:   s.Name,
+			searchers: []grdispatch.Searcher{{ID: id, Address: grident.Address(listener.Addr().String()), Domain: "d1", Slots: 2, ConnLimit: 2}},
 		}
 		update.apply(l, now)
 	}
--- a/transport/grnode/services.go
+++ b/transport/grnode/services.go
@@ -27,7 +27,6 @@
 	}
 	evacuated := c.evacuated()
 	services := make(map[grident.Service][]grdispatch.Searcher)
-	addresses := make(map[grident.SearcherID]grident.Address)
 	for name := range c.routerSearchers {
 		services[name] = nil
 	}
@@ -39,14 +38,13 @@
 	for _, s := range c.state.Searchers() {
 		isEvacuated := evacuated(s.Domain)
 		leaving := s.State != grcluster.Live || inMaintenance["service "+string(s.Service)] || inMaintenance["searcher "+string(s.ID)] || isEvacuated
-		listed := grdispatch.Searcher{ID: s.ID, Domain: s.Domain, Slots: s.Slots, Leaving: leaving, Evacuated: isEvacuated, Incarnation: s.Incarnation}
+		listed := grdispatch.Searcher{ID: s.ID, Address: s.Address, Domain: s.Domain, Slots: s.Slots, Leaving: leaving, Evacuated: isEvacuated, Incarnation: s.Incarnation}
 		c.setColdEntry(&listed, s.Service)
 		c.setConnLimits(&listed, &s)
 		services[s.Service] = append(services[s.Service], listed)
-		addresses[s.ID] = s.Address
 	}
 	for name, list := range services {
-		c.refreshService(name, list, addresses)
+		c.refreshService(name, list)
 	}
 	if divisor := c.state.PendingDivisor(); divisor != c.targetDivisor {
 		c.targetDivisor = divisor
@@ -172,16 +170,12 @@
 	}
 }
 
-func (c *controlLoop) refreshService(name grident.Service, list []grdispatch.Searcher, addresses map[grident.SearcherID]grident.Address) {
+func (c *controlLoop) refreshService(name grident.Service, list []grdispatch.Searcher) {
 	if last, known := c.routerSearchers[name]; known && slices.Equal(last, list) {
 		return
 	}
 	c.routerSearchers[name] = list
-	serviceAddresses := make(map[grident.SearcherID]grident.Address, len(list))
-	for _, s := range list {
-		serviceAddresses[s.ID] = addresses[s.ID]
-	}
-	c.node.post(&serviceUpdated{name, list, serviceAddresses})
+	c.node.post(&serviceUpdated{name, list})
 	for i := range list {
 		if l, ok := c.state.RateLimitOf(list[i].ID); ok {
 			c.node.post(&rateLimitLearned{l})
--- a/transport/grupstream/control.go
+++ b/transport/grupstream/control.go
@@ -118,7 +118,7 @@
 			if !client.do(&controlCall{method: http.MethodGet, path: grwire.LoadPath, address: c.address, result: &load}) {
 				return
 			}
-			c.pool.OnEvent(Event{Kind: LoadReported, Searcher: c.id, Incarnation: c.incarnation, Load: load})
+			c.pool.OnEvent(Event{Kind: LoadReported, Searcher: c.id, Incarnation: c.incarnation, Address: c.address, Load: load})
 			timer.Reset(loadPollInterval)
 		}
 	}
--- a/transport/grupstream/pool.go
+++ b/transport/grupstream/pool.go
@@ -52,6 +52,7 @@
 	Load        grwire.LoadReply
 	Searcher    grident.SearcherID  // for LoadReported
 	Incarnation grident.Incarnation // for LoadReported
+	Address     grident.Address     // for LoadReported
 }
 
 // Exchange converts one attempt to an HTTP request and its response to a reply. The
