Lost instances are noticed however many of those that watch them are lost too

Callers saw: after six of eleven instances had lost power, look-ups at the others named two of them for good; each such address costs a caller a second. Cause: an instance watched the next four members in hash order, suspects included. One whose four predecessors were lost too was watched by nobody, and an instance whose four followers were lost took itself for cut off. Ruled out: a suspicion that is not passed on or is refuted ("member changed" names the two on no instance). Change: a failure detector of its own. In place of members that do not answer further ones are watched, in growing numbers; a suspicion is published only while others answer; what an instance observes counts for its own decisions at once; after a cut all is asked again before anybody is accused; cut off is whoever hears nothing of anyone. Why this works: the nearest instance left before a run of lost ones crosses the run, so each lost one has somebody who notices it, whatever the order and the number.

--- a/coordination/grcluster/capacity_test.go
+++ b/coordination/grcluster/capacity_test.go
@@ -43,7 +43,7 @@
 			case "i": // Another run.
 				answer.From.Incarnation = 2
 			}
-			c.Acknowledged(answer.From.ID)
+			c.Acknowledged(now, now, answer.From.ID)
 			c.LearnCapacity(&answer, out)
 		}
 	}
--- a/coordination/grcluster/cluster.go
+++ b/coordination/grcluster/cluster.go
@@ -85,7 +85,7 @@
 
 // Fan-out of heartbeats and changes.
 const (
-	Neighbours = 4 // members of the group that an instance sends heartbeats to
+	Neighbours = 4 // members of the group that an instance sends heartbeats to, if all answer
 	pushFanout = 4 // members that a change is pushed to immediately
 	pushRounds = 3 // number of heartbeats that carry a change
 )
@@ -127,7 +127,8 @@
 	presetRegister     grpreset.ActiveRegister
 	loads              map[grident.InstanceID]int
 	stated             map[grident.InstanceID]statedCapacity
-	unansweredSince    map[grident.InstanceID]grclock.Millis // time of the first unanswered heartbeat
+	detector           failureDetector
+	isolated           bool                                  // nothing is heard of any other member
 	published          grconnlimit.PublishedDivisor          // own connection divisor and the members it counts
 	divisorStale       bool                                  // inputs of the divisor changed
 	pendingDivisor     int                                   // larger divisor, limits connections already; published when they are reduced to it
@@ -156,7 +157,7 @@
 // Init prepares the state at startup. It must be called once, before all other
 // methods.
 func (c *Cluster) Init(now grclock.Millis, out *Output) {
-	c.unansweredSince = make(map[grident.InstanceID]grclock.Millis)
+	c.detector.init(now)
 	c.loads = make(map[grident.InstanceID]int)
 	c.stated = make(map[grident.InstanceID]statedCapacity)
 	c.refusedSeeds = make(map[grident.Address]bool)
@@ -192,7 +193,8 @@
 // Receive processes a message of a peer and returns the reply; ok is false if there
 // is none.
 func (c *Cluster) Receive(now grclock.Millis, got Message, out *Output) (answer Message, ok bool) {
-	c.recordMessage(got.From.ID, got.Load)
+	c.detector.heard(now, got.From.ID)
+	c.loads[got.From.ID] = got.Load
 	c.LearnCapacity(&got, out)
 	if got.PlatformAway && now-c.startedAt < grregistry.GracePeriod {
 		// Later, the message may have waited here while this process stood still.
@@ -220,8 +222,11 @@
 	return answer, ok
 }
 
-// Acknowledged records that a peer accepted a message and sent no reply.
-func (c *Cluster) Acknowledged(id grident.InstanceID) { c.recordMessage(id, -1) }
+// Acknowledged records that a peer accepted a message that was sent at the time given.
+func (c *Cluster) Acknowledged(now, sentAt grclock.Millis, id grident.InstanceID) {
+	c.detector.heard(now, id)
+	c.detector.answered(now, sentAt)
+}
 
 // ConnectionRefused records that a connection to a member's peer address was refused.
 // It proves that the given run has ended, the run known at this address when the
@@ -251,7 +256,7 @@
 		if now-c.startedAt >= startupTimeout {
 			c.completeStartup()
 		}
-		c.suspectUnresponsive(now)
+		c.updateSuspects(now)
 		c.askForView(now)
 		c.removeDue(now, Delayed)
 		c.endLostEvacuations(now)
@@ -373,6 +378,9 @@
 	case MemberKind:
 		c.membersStale, c.divisorStale, c.out.MembersChanged = true, true, true
 		c.out.SearchersChanged = c.out.SearchersChanged || c.UncoordinatedDivisor
+		if StateOf(old.Version) == Suspect && StateOf(item.Version) == Live {
+			c.detector.refuted(item.Value.Member.ID)
+		}
 		c.refute(now, item)
 	}
 }
--- a/coordination/grcluster/heartbeat.go
+++ b/coordination/grcluster/heartbeat.go
@@ -7,18 +7,9 @@
 	"geraniumrouter/state/grident"
 )
 
-// recordMessage records that a member sent a message; load is -1 if the message had
-// none.
-func (c *Cluster) recordMessage(id grident.InstanceID, load int) {
-	delete(c.unansweredSince, id)
-	if load >= 0 {
-		c.loads[id] = load
-	}
-}
-
-// sendHeartbeats sends heartbeats to the neighbours in the group, to one member of
-// another group, and to the seeds that are not known members yet. Each heartbeat
-// carries the recent changes and the digests.
+// sendHeartbeats sends heartbeats to the members that this instance watches, to one member of
+// another group, and to the seeds that are not known members yet. Each heartbeat carries the
+// recent changes and the digests.
 func (c *Cluster) sendHeartbeats(now grclock.Millis) {
 	message := c.newMessage(now)
 	message.Items = c.items.Push()
@@ -27,20 +18,23 @@
 	if !c.UncoordinatedDivisor {
 		groupMessage.GroupItems = &group
 	}
-	neighbours := c.neighbours()
-	for _, m := range neighbours {
-		if _, waiting := c.unansweredSince[m.ID]; !waiting {
-			c.unansweredSince[m.ID] = now
-		}
+	watched := c.watched(now)
+	isWatched := func(m Member) bool {
+		return slices.ContainsFunc(watched, func(w Member) bool { return w.ID == m.ID })
+	}
+	watched = append(watched, slices.DeleteFunc(c.toRecheck(now), isWatched)...)
+	for i := range watched {
+		m := &watched[i]
+		c.detector.asked(now, m)
 		c.send(m.PeerAddress, m.Incarnation, groupMessage)
 	}
 	if m, ok := c.randomOutsideGroup(); ok {
 		c.send(m.PeerAddress, m.Incarnation, message)
 	}
-	if s, ok := c.viewSource(); ok && !slices.ContainsFunc(neighbours, func(m Member) bool { return m.ID == s.ID }) {
+	if s, ok := c.viewSource(); ok && !isWatched(s) {
 		c.send(s.PeerAddress, s.Incarnation, message)
 	}
-	if m, ok := c.memberToAsk(); ok && !slices.ContainsFunc(neighbours, func(n Member) bool { return n.ID == m.ID }) {
+	if m, ok := c.memberToAsk(); ok && !isWatched(m) {
 		c.send(m.PeerAddress, m.Incarnation, message)
 	}
 	for _, seed := range c.unknownSeeds() {
@@ -50,18 +44,6 @@
 	c.groupItems.PushSent()
 }
 
-// neighbours returns the members of the group that follow this one in hash order.
-func (c *Cluster) neighbours() []Member {
-	group := c.Group()
-	self := slices.IndexFunc(group, func(m Member) bool { return m.ID == c.Self.ID })
-	n := min(Neighbours, len(group)-1)
-	list := make([]Member, 0, max(n, 0))
-	for i := 1; i <= n; i++ {
-		list = append(list, group[(self+i)%len(group)])
-	}
-	return list
-}
-
 // randomOutsideGroup returns a random member of another group, or false if there is
 // none.
 func (c *Cluster) randomOutsideGroup() (Member, bool) {
@@ -119,21 +101,6 @@
 	c.out.Messages = append(c.out.Messages, Outgoing{To: to, Incarnation: run, Message: message})
 }
 
-// suspectUnresponsive marks neighbours as suspect that have not answered for
-// SuspectAfter. They keep their share of the connection limits: a missing answer does
-// not prove that they have ended.
-func (c *Cluster) suspectUnresponsive(now grclock.Millis) {
-	for _, m := range c.neighbours() {
-		since, waiting := c.unansweredSince[m.ID]
-		if !waiting || now-since < SuspectAfter {
-			continue
-		}
-		if c.stateOf(m.ID) == Live {
-			c.setMember(now, m.ID, Suspect)
-		}
-	}
-}
-
 // IsWatcher reports whether this instance watches the platform. The first live member
 // of each failure domain in hash order does. If WatcherCount is set, that number of
 // members does in total.
--- a/coordination/grcluster/known.go
+++ b/coordination/grcluster/known.go
@@ -1,10 +1,6 @@
 package grcluster
 
-import (
-	"slices"
-
-	"geraniumrouter/state/grident"
-)
+import "geraniumrouter/state/grident"
 
 // SeedsRead reports whether the addresses of all instances registered at the platform were
 // added.
@@ -30,9 +26,5 @@
 	return n
 }
 
-// Isolated reports whether none of the members that this instance sends heartbeats to answers.
-// All other members may be unreachable then, as those that others watch are not known to be.
-func (c *Cluster) Isolated() bool {
-	neighbours := c.neighbours()
-	return len(neighbours) > 0 && !slices.ContainsFunc(neighbours, func(m Member) bool { return c.stateOf(m.ID) != Suspect })
-}
+// Isolated reports whether nothing is heard of any other member: this instance may be cut off.
+func (c *Cluster) Isolated() bool { return c.isolated && len(c.Members()) > 1 }
--- a/coordination/grcluster/member.go
+++ b/coordination/grcluster/member.go
@@ -61,7 +61,17 @@
 	}
 }
 
+// stateOf returns the state of a member by what the members publish and, in addition, by what
+// this instance itself observes.
 func (c *Cluster) stateOf(id grident.InstanceID) State {
+	state := c.publishedState(id)
+	if state == Live && c.detector.suspects[id] {
+		return Suspect
+	}
+	return state
+}
+
+func (c *Cluster) publishedState(id grident.InstanceID) State {
 	item, ok := c.items.Get(memberKey(id))
 	if !ok {
 		return Gone
--- a/coordination/grcluster/registry_simulation_test.go
+++ b/coordination/grcluster/registry_simulation_test.go
@@ -195,7 +195,7 @@
 		sender := f.instances[m.from]
 		to := Outgoing{To: simAddress(m.from), Incarnation: sender.run}
 		if m.isAnswer {
-			in.cluster.Acknowledged(sender.cluster.Self.ID)
+			in.cluster.Acknowledged(f.now, m.askedAt, sender.cluster.Self.ID)
 		}
 		if !m.isEmpty {
 			answer, ok := in.cluster.Receive(f.now, m.message, &in.out)
--- a/coordination/grcluster/view.go
+++ b/coordination/grcluster/view.go
@@ -44,7 +44,7 @@
 func (c *Cluster) Turn(now grclock.Millis) grclock.Millis {
 	stopped := c.lease.Turn(now)
 	if stopped > 0 {
-		clear(c.unansweredSince)
+		c.detector.stopped(now)
 	}
 	return stopped
 }
--- a/standin/grstandfleet/fault.go
+++ b/standin/grstandfleet/fault.go
@@ -1,7 +1,9 @@
 package grstandfleet
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"geraniumrouter/coordination/grcluster"
 	"geraniumrouter/state/grclock"
@@ -16,6 +18,12 @@
 	m.alive, m.divisor = false, 0
 }
 
+// SwitchOff stops a member and its machine: messages to it are not answered or refused.
+func (f *Fleet) SwitchOff(i int) {
+	f.Kill(i)
+	f.members[i].off = true
+}
+
 // generationAtPeers returns the highest generation that both the member and one
 // of its reachable live peers have reached. The member can get it from that
 // peer after a restart.
@@ -221,5 +229,20 @@
 	}
 }
 
+// HashOrder returns the members in the order in which they watch each other.
+func (f *Fleet) HashOrder() []int {
+	order := make([]int, len(f.members))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(grident.Hash(f.members[a].id), grident.Hash(f.members[b].id)) })
+	return order
+}
+
+// Lists reports whether a member lists another one for callers.
+func (f *Fleet) Lists(i, other int) bool {
+	return slices.ContainsFunc(f.members[i].cluster.Entries("d1", 1), func(m grcluster.Member) bool { return m.ID == f.members[other].id })
+}
+
 // Entries returns the number of entry instances that a member lists for callers.
 func (f *Fleet) Entries(i int) int { return len(f.members[i].cluster.Entries("d1", 1)) }
--- a/standin/grstandfleet/fleet.go
+++ b/standin/grstandfleet/fleet.go
@@ -33,6 +33,7 @@
 	Seed            uint64
 	CountBytes      bool // count the bytes of messages and answers
 	NoPush          bool // replicate by periodic gossip only, for comparison
+	OneGroup        bool // as on the users' platform: one group, and members divide connections without coordination
 	Bug             Bug
 }
 
@@ -108,12 +109,14 @@
 	cluster       *grcluster.Cluster
 	out           grcluster.Output
 	alive         bool
+	off           bool // without power: nothing answers at its address
 	paused        bool
 	backlog       []func() // events that arrived during a pause
 	incarnation   grident.Incarnation
 	divisor       int // connection limit divided by this is the number of open connections; 0 for none
 	generation    grident.Generation
 	inForce       bool               // a preset is in force
+	sent          int                // messages sent so far
 	minGeneration grident.Generation // minimum after a restart: a live peer had this generation too
 }
 
@@ -158,7 +161,9 @@
 		t := f.tasks.Pop()
 		f.Now = t.at
 		(*t.run)()
-		f.checkConnLimits()
+		if !f.Config.OneGroup {
+			f.checkConnLimits()
+		}
 	}
 	f.Now = end
 }
@@ -176,7 +181,12 @@
 }
 
 // groupCount returns the number of groups of members that share searchers.
-func (f *Fleet) groupCount() int { return (f.Config.Members + groupSize - 1) / groupSize }
+func (f *Fleet) groupCount() int {
+	if f.Config.OneGroup {
+		return 1
+	}
+	return (f.Config.Members + groupSize - 1) / groupSize
+}
 
 func instanceID(i int) grident.InstanceID { return grident.InstanceID(fmt.Sprintf("entry-%d", i+1)) }
 
@@ -187,7 +197,7 @@
 // start starts a new incarnation of the member.
 func (m *member) start() {
 	f := m.fleet
-	m.alive, m.paused, m.backlog = true, false, nil
+	m.alive, m.off, m.paused, m.backlog = true, false, false, nil
 	m.incarnation = grident.Incarnation(f.Now + 1)
 	m.inForce, m.generation, m.divisor = false, 0, 0
 	m.cluster = &grcluster.Cluster{
@@ -198,6 +208,11 @@
 		Random:          grident.Random{State: f.random.Uint64()},
 		PushImmediately: !f.Config.NoPush,
 		GroupCount:      f.groupCount(),
+
+		UncoordinatedDivisor: f.Config.OneGroup,
+	}
+	if f.Config.OneGroup {
+		m.cluster.WatcherCount = 2
 	}
 	for s := range min(3, f.Config.Members) {
 		m.cluster.Seeds = append(m.cluster.Seeds, address((m.index+1+s)%f.Config.Members))
@@ -317,9 +332,10 @@
 // one of them is lost. A message to a killed member is refused.
 func (f *Fleet) send(from *member, o grcluster.Outgoing) {
 	f.report.Messages++
+	from.sent++
 	f.countBytes(&o.Message)
 	to := f.memberAt(o.To)
-	incarnation, wait := from.incarnation, f.randomOneWay()
+	incarnation, sentAt, wait := from.incarnation, f.Now, f.randomOneWay()
 	if f.lost(from, to) {
 		return
 	}
@@ -328,6 +344,9 @@
 		return
 	}
 	f.after(wait, func() {
+		if to.off {
+			return
+		}
 		if !to.alive {
 			f.after(f.randomOneWay(), func() { from.connectionRefused(incarnation, o) })
 			return
@@ -336,7 +355,7 @@
 			answer, ok := to.cluster.Receive(f.Now, o.Message, &to.out)
 			to.applyEffects()
 			if !f.lost(to, from) {
-				f.after(f.randomOneWay(), func() { from.handleAnswer(incarnation, to, answer, ok) })
+				f.after(f.randomOneWay(), func() { from.handleAnswer(incarnation, sentAt, to, answer, ok) })
 			}
 		})
 	})
@@ -352,13 +371,13 @@
 	})
 }
 
-func (m *member) handleAnswer(incarnation grident.Incarnation, from *member, answer grcluster.Message, ok bool) {
+func (m *member) handleAnswer(incarnation grident.Incarnation, sentAt grclock.Millis, from *member, answer grcluster.Message, ok bool) {
 	f := m.fleet
 	if m.incarnation != incarnation || !m.alive {
 		return
 	}
 	m.deliver(func() {
-		m.cluster.Acknowledged(from.id)
+		m.cluster.Acknowledged(f.Now, sentAt, from.id)
 		if !ok {
 			return
 		}
--- a/transport/grnode/control.go
+++ b/transport/grnode/control.go
@@ -279,7 +279,7 @@
 		c.state.ConnectionRefused(now, e.To.To, e.To.Incarnation, &c.out)
 	case grpeer.Answered:
 		received := grwire.PeerMessageFrom(&e.Answer)
-		c.state.Acknowledged(received.From.ID)
+		c.state.Acknowledged(now, e.SentAt, received.From.ID)
 		c.state.LearnCapacity(&received, &c.out)
 		if !e.Answer.Empty {
 			if next, more := c.state.Receive(now, received, &c.out); more {
