A searcher's Retry-After keeps requests of this instance from it

Searchers saw: after a 503 with Retry-After: 4 each instance went on sending some milliseconds later. Cause: nothing read the field; a refusal pauses a searcher for 20 ms at most. Ruled out: a pause that later answers or retries end (there was none). No attempt, retry, hedge or new connection until its end, which has a jitter and begins a slow start; the longest of answers in flight together counts; a restart ends it. Where all searchers of a service refuse for too long, requests are rejected at once, with a true and spread Retry-After. Why this works: every choice of a searcher goes through the same test of availability, and what waits is tested again when a searcher begins to refuse.

--- a/coordination/grdispatch/attempt_history.go
+++ b/coordination/grdispatch/attempt_history.go
@@ -15,6 +15,7 @@
 	AttemptEnded bool               // an attempt ended without an answer, with outcome LastKind
 	LastKind     ReplyKind
 	RateLimited  bool // a rate limit kept it from a searcher
+	Refused      bool // every searcher has asked for no attempts for a time
 }
 
 // AttemptHistory returns the attempt history of a sub-request that has not ended.
@@ -27,7 +28,7 @@
 }
 
 func (d *Dispatcher) historyOf(now grclock.Millis, s *pendingRequest) AttemptHistory {
-	h := AttemptHistory{Sent: int(s.sent), Waiting: s.queued, Searcher: s.lastSearcher, AttemptEnded: s.attemptEnded, LastKind: s.lastKind, RateLimited: s.heldBack}
+	h := AttemptHistory{Sent: int(s.sent), Waiting: s.queued, Searcher: s.lastSearcher, AttemptEnded: s.attemptEnded, LastKind: s.lastKind, RateLimited: s.heldBack, Refused: s.refused}
 	for _, id := range s.attempts[:s.sent] {
 		a := d.findAttempt(id)
 		if a == nil || now-a.sentAt < h.InFlightAge {
--- a/coordination/grdispatch/backlog.go
+++ b/coordination/grdispatch/backlog.go
@@ -89,7 +89,7 @@
 	known := false
 	for i := range d.searchers {
 		r := &d.searchers[i]
-		if !r.usable() || r.NotHolder && r.conns.total == 0 {
+		if !r.accepts(now) || r.NotHolder && r.conns.total == 0 {
 			continue
 		}
 		if r.ejectedUntil > now || !d.atCapacity(now, r) {
--- a/coordination/grdispatch/conn.go
+++ b/coordination/grdispatch/conn.go
@@ -263,6 +263,10 @@
 	if !r.usable() {
 		return
 	}
+	if r.refuses(now) {
+		d.wakeAt(r.refusedUntil)
+		return
+	}
 	target := min(d.connLimit(r), int(d.maxWindow(r))+d.Policy.WarmConns)
 	if d.WarmConns != nil {
 		target = min(d.connLimit(r), r.conns.target)
@@ -339,7 +343,7 @@
 		if r.usable() && r.conns.retryAt > now {
 			d.wakeAt(r.conns.retryAt)
 		}
-		if !r.usable() || r.conns.trial != 0 || r.conns.opening > 0 || r.conns.retryAt > now || r.inFlight >= int(r.window) {
+		if !r.accepts(now) || r.conns.trial != 0 || r.conns.opening > 0 || r.conns.retryAt > now || r.inFlight >= int(r.window) {
 			continue
 		}
 		if r.conns.total >= d.connLimit(r) && !r.conns.isReplaceable(s.Correlation) {
--- a/coordination/grdispatch/counters.go
+++ b/coordination/grdispatch/counters.go
@@ -6,6 +6,7 @@
 	Resent                                    uint64 // sent again because the searcher had not started the attempt
 	Answered, NotAnswered, LateReplies        uint64
 	Sheds, Ejections, UnresponsiveConns       uint64
+	Refusals                                  uint64 // answers in which a searcher asked for no attempts for a time
 	HedgesDenied, RetriesDenied, Cancelled    uint64
 	ConnsOpened, ConnsClosed                  uint64
 	AbandonedConnsClosed                      uint64
@@ -27,6 +28,7 @@
 	c.LateReplies += o.LateReplies
 	c.Sheds += o.Sheds
 	c.Ejections += o.Ejections
+	c.Refusals += o.Refusals
 	c.UnresponsiveConns += o.UnresponsiveConns
 	c.HedgesDenied += o.HedgesDenied
 	c.RetriesDenied += o.RetriesDenied
--- a/coordination/grdispatch/dispatch.go
+++ b/coordination/grdispatch/dispatch.go
@@ -126,20 +126,6 @@
 	return retriedAttempt
 }
 
-// wakeAfterPauses schedules a wake-up for the end of each searcher's backoff or
-// ejection.
-func (d *Dispatcher) wakeAfterPauses(now grclock.Millis) {
-	for i := range d.searchers {
-		r := &d.searchers[i]
-		if r.backoffUntil > now {
-			d.wakeAt(r.backoffUntil)
-		}
-		if r.ejectedUntil > now {
-			d.wakeAt(r.ejectedUntil)
-		}
-	}
-}
-
 // send sends an attempt of the sub-request, which must leave by sendBy.
 func (d *Dispatcher) send(now grclock.Millis, index, searcher int32, sendBy grclock.Millis, out *Output) {
 	s := &d.subs[index]
--- a/coordination/grdispatch/dispatcher.go
+++ b/coordination/grdispatch/dispatcher.go
@@ -87,6 +87,7 @@
 	Answer       *granswer.Answer // in place of Records, for requests forwarded unchanged
 	ReusableConn bool             // the connection can be reused
 	Leaving      bool             // the searcher said that it leaves
+	RefusedFor   grclock.Millis   // time for which the searcher asked for no further attempts; 0: it did not
 }
 
 // DoneKind is the outcome of a sub-request.
@@ -202,6 +203,7 @@
 	triedMask     uint64           // bit set of searchers that received an attempt, by index modulo 64
 	wantedMask    uint64           // bit set of searchers in whose demand for units it was counted, likewise
 	heldBack      bool             // a rate limit kept it from a searcher
+	refused       bool             // it ended since every searcher has asked for no attempts
 	snapshotGone  bool             // a searcher reported the snapshot as gone
 	mayHaveRun    bool             // a searcher may have started an attempt
 	withdrawn     bool             // nobody waits for it; it is not sent again
@@ -309,14 +311,14 @@
 func (d *Dispatcher) InFlight() int { return len(d.byKey) }
 
 // ExpectedWait estimates the time in ms to an answer for a sub-request submitted now,
-// from the recent rate of answers and the rate limits of the searchers.
+// from the recent rate of answers, and the rate limits and refusals of the searchers.
 func (d *Dispatcher) ExpectedWait(now grclock.Millis) grclock.Millis {
 	latency := d.typicalLatency.Value(0)
 	queued := 0.0
 	if n := d.queue.Len(); n > 0 {
 		queued = float64(n) * d.answerInterval.Value(0)
 	}
-	return grclock.Millis(latency + max(queued, float64(d.RateLimitWait(now))))
+	return grclock.Millis(latency + max(queued, float64(d.RateLimitWait(now)), float64(d.RefusedFor(now))))
 }
 
 func (d *Dispatcher) wakeAt(t grclock.Millis) {
--- a/coordination/grdispatch/rate_limit.go
+++ b/coordination/grdispatch/rate_limit.go
@@ -276,12 +276,12 @@
 	consumed []int // units of each that were skipped
 }
 
-// expectedUnits returns the units of the searchers that are allowed.
+// expectedUnits returns the units of the searchers that are allowed and accept attempts.
 func (d *Dispatcher) expectedUnits(now grclock.Millis, allowed func(searcher int32) bool) expectedUnits {
 	units := expectedUnits{now: now}
 	for i := range d.searchers {
 		r := &d.searchers[i]
-		if !r.usable() || !allowed(int32(i)) {
+		if !r.accepts(now) || !allowed(int32(i)) {
 			continue
 		}
 		if !d.limited(now, r) {
@@ -312,8 +312,9 @@
 	return wait
 }
 
-// unservable reports whether no unit of a rate limit is expected in time for the waiting
-// sub-request, which has the given number of others ahead of it.
+// unservable reports whether the waiting sub-request cannot be sent in time: every searcher
+// refuses attempts for longer, or no unit of a rate limit is expected. It has the given number of
+// others ahead of it.
 func (d *Dispatcher) unservable(now grclock.Millis, s *pendingRequest, ahead int) bool {
 	if s.active > 0 {
 		return false
@@ -322,7 +323,12 @@
 	if s.UsefulUntil > 0 {
 		usefulUntil = max(s.UsefulUntil, now)
 	}
-	units := d.expectedUnits(now, func(searcher int32) bool { return d.allows(s, searcher) })
+	allowed := func(searcher int32) bool { return d.allows(s, searcher) }
+	if wait := d.refusedFor(now, allowed); wait > 0 {
+		s.refused = now+wait > usefulUntil
+		return s.refused
+	}
+	units := d.expectedUnits(now, allowed)
 	return now+units.skip(ahead) > usefulUntil
 }
 
@@ -336,15 +342,14 @@
 // rate limit or is cold.
 func (d *Dispatcher) allLimited(now grclock.Millis, s *pendingRequest) bool {
 	for i := range d.searchers {
-		if r := &d.searchers[i]; r.usable() && d.allows(s, int32(i)) && !d.limited(now, r) {
+		if r := &d.searchers[i]; r.accepts(now) && d.allows(s, int32(i)) && !d.limited(now, r) {
 			return false
 		}
 	}
 	return true
 }
 
-// endIfUnservable ends a sub-request that has just joined the queue if no unit of a rate
-// limit is expected in time.
+// endIfUnservable ends a sub-request that has just joined the queue if it cannot be sent in time.
 func (d *Dispatcher) endIfUnservable(now grclock.Millis, key SubRequestKey, out *Output) {
 	index, ok := d.byKey[key]
 	if ok && d.subs[index].queued && d.unservable(now, &d.subs[index], d.queue.Len()-1) {
--- a/coordination/grdispatch/reply.go
+++ b/coordination/grdispatch/reply.go
@@ -21,6 +21,9 @@
 		s.active--
 		d.settleRequest(now, &ended, reply, out)
 	}
+	if reply.RefusedFor > 0 {
+		d.endUnservable(now, out)
+	}
 	d.dispatch(now, out)
 }
 
@@ -37,6 +40,7 @@
 	d.recordRateLimit(now, r, reply.RateLimit, out)
 	d.recordColdAnswer(now, r, a.conn, reply.Cold, out)
 	d.recordLeaving(r, a, reply.Leaving, out)
+	d.recordRefusal(now, r, a, reply.RefusedFor)
 	span := now - a.sentAt
 	if reply.Kind == OK || a.cancelled {
 		d.latency.Add(span)
@@ -138,7 +142,7 @@
 	if kind == Cancelled {
 		return int(s.sent) < attemptLimit && d.RetryBudget.Allow(now)
 	}
-	if s.NonIdempotent && s.mayHaveRun || int(s.sent) >= d.maxAttempts(s) || !d.hasUntried(s) {
+	if s.NonIdempotent && s.mayHaveRun || int(s.sent) >= d.maxAttempts(s) || !d.hasUntried(now, s) {
 		return false
 	}
 	if !d.RetryBudget.Allow(now) {
@@ -159,9 +163,9 @@
 	return false
 }
 
-func (d *Dispatcher) hasUntried(s *pendingRequest) bool {
+func (d *Dispatcher) hasUntried(now grclock.Millis, s *pendingRequest) bool {
 	for i := range d.searchers {
-		if d.searchers[i].usable() && d.allows(s, int32(i)) && s.triedMask&(1<<(uint(i)%64)) == 0 {
+		if d.searchers[i].accepts(now) && d.allows(s, int32(i)) && s.triedMask&(1<<(uint(i)%64)) == 0 {
 			return true
 		}
 	}
--- a/coordination/grdispatch/reservation.go
+++ b/coordination/grdispatch/reservation.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		score := d.expectedWait(now, r)
-		if r.Domain == owner || r.ejectedUntil > now || d.limited(now, r) {
+		if r.Domain == owner || r.refuses(now) || r.ejectedUntil > now || d.limited(now, r) {
 			score += triedPenalty
 		}
 		if score < bestScore {
--- a/coordination/grdispatch/script_test.go
+++ b/coordination/grdispatch/script_test.go
@@ -17,7 +17,7 @@
 //
 //	searchers                            (one a line: "id key=value ...") the complete list
 //	submit query=N [deadline=MS] [once]  once: the request is not idempotent
-//	reply searcher=ID kind=K [leaving] [retry-after=MS]  the oldest attempt at the searcher ends
+//	reply searcher=ID kind=K [leaving] [refused-for=MS]  the oldest attempt at the searcher ends
 //	restart searcher=ID                  the list names a later run of the searcher
 //	wait ms=N
 type script struct {
@@ -67,6 +67,9 @@
 		t.Fatalf("unknown command %q", d.Cmd)
 	}
 	s.settle()
+	if wait := s.dispatcher.RefusedFor(s.now); wait > 0 {
+		s.logf("all refuse for %d ms", wait)
+	}
 	return s.log.String()
 }
 
@@ -112,7 +115,11 @@
 	if i < 0 {
 		t.Fatalf("%s: no attempt in flight at %s", d.Pos, id)
 	}
-	reply := Reply{Attempt: s.inFlight[i].Attempt, ReusableConn: true, Leaving: d.HasArg("leaving")}
+	var refusedFor int64
+	d.MaybeScanArgs(t, "refused-for", &refusedFor)
+	reply := Reply{
+		Attempt: s.inFlight[i].Attempt, ReusableConn: true, Leaving: d.HasArg("leaving"), RefusedFor: grclock.Millis(refusedFor),
+	}
 	for reply.Kind = OK; reply.Kind.String() != kind; reply.Kind++ {
 		continue
 	}
--- a/coordination/grdispatch/searcher.go
+++ b/coordination/grdispatch/searcher.go
@@ -28,30 +28,24 @@
 // searcherState is the dispatcher's state of one searcher.
 type searcherState struct {
 	Searcher
-	tag                 grident.SearcherTag
-	present             bool    // in the current list of searchers
-	draining            bool    // reported itself as draining
-	inFlight            int     // attempts in flight
-	window              float64 // concurrency window: limit on inFlight
-	latency             grstat.EWMA
-	latencyAt           grclock.Millis // time of the last change of latency
-	slowdown            slowdownTracker
-	slowStreak          int            // consecutive times that it was slow; attempts in flight together count once
-	lastSlowAt          grclock.Millis // time of the last increment of slowStreak
-	load                Load
-	loadAt              grclock.Millis
-	slowStartAt         grclock.Millis // start of the slow start
-	consecutiveFailures int
-	failureRate         grstat.EWMA    // decaying fraction of attempts that failed
-	failureRateAt       grclock.Millis // time of the last change of failureRate
-	ejections           int
-	ejectedUntil        grclock.Millis
-	backoffUntil        grclock.Millis // end of the backoff after it shed or lost a connection
-	backoffStep         int            // doublings of the backoff
-	shedAt              grclock.Millis // last time it shed an attempt
-	conns               connPool
-	rateLimit           searcherRateLimit
-	cold                searcherCold
+	tag grident.SearcherTag
+	availability
+	inFlight      int     // attempts in flight
+	window        float64 // concurrency window: limit on inFlight
+	latency       grstat.EWMA
+	latencyAt     grclock.Millis // time of the last change of latency
+	slowdown      slowdownTracker
+	slowStreak    int            // consecutive times that it was slow; attempts in flight together count once
+	lastSlowAt    grclock.Millis // time of the last increment of slowStreak
+	load          Load
+	loadAt        grclock.Millis
+	slowStartAt   grclock.Millis // start of the slow start
+	failureRate   grstat.EWMA    // decaying fraction of attempts that failed
+	failureRateAt grclock.Millis // time of the last change of failureRate
+	shedAt        grclock.Millis // last time it shed an attempt
+	conns         connPool
+	rateLimit     searcherRateLimit
+	cold          searcherCold
 }
 
 // Parameters of the load balancing.
@@ -62,9 +56,6 @@
 	loadHalfLife        = 50 * grclock.Millisecond  // half-life of a load report
 	slowRatio           = 3                         // expected latency ÷ age of an attempt that is still unanswered
 	slowStartFloor      = 0.1                       // weight of a searcher at the start of its slow start
-	initialBackoff      = 4 * grclock.Millisecond   // first backoff after a searcher shed or lost a connection
-	maxBackoffStep      = 8                         // maximum doublings of the backoff
-	maxEjectSteps       = 5                         // maximum doublings of the ejection time
 	failureRateWeight   = 0.15                      // of the newest attempt in the failure rate
 	failureRatePenalty  = 40                        // expected wait × (1 + this × failure rate), since a failure costs another attempt from the budget
 	failureRateHalfLife = 2 * grclock.Second        // half-life of the failure rate while the searcher is unused
@@ -81,7 +72,7 @@
 		r := d.stateFor(now, s)
 		old := r.Searcher
 		if s.Incarnation != r.Incarnation || s.Address != r.Address {
-			r.draining, r.slowStartAt = false, now
+			r.draining, r.refusedUntil, r.slowStartAt = false, 0, now
 			r.rateLimit = searcherRateLimit{}
 			r.conns.retryAt, r.conns.reopenStep, r.conns.trial = min(r.conns.retryAt, now), 0, 0
 		}
@@ -144,9 +135,6 @@
 	return false
 }
 
-// usable reports whether the searcher accepts new work at all.
-func (r *searcherState) usable() bool { return r.present && !r.Leaving && !r.draining }
-
 // choose returns the index of the searcher for the next attempt of s, or -1 when none
 // has capacity. Searchers that already received an attempt are ranked last. Those with
 // an attempt in flight are skipped unless every searcher has one, and those whose rate
@@ -200,28 +188,6 @@
 	return false
 }
 
-// hasRoom reports whether the searcher can take an attempt of s now.
-func (d *Dispatcher) hasRoom(now grclock.Millis, r *searcherState, s *pendingRequest) bool {
-	if !r.usable() || r.conns.idleFor(s.Correlation) < 0 {
-		return false
-	}
-	if r.backoffUntil > now || r.inFlight >= int(r.window) {
-		return false
-	}
-	return r.ejectedUntil <= now || d.allEjected(now)
-}
-
-// allEjected reports whether every usable searcher is ejected. Ejections are then
-// ignored.
-func (d *Dispatcher) allEjected(now grclock.Millis) bool {
-	for i := range d.searchers {
-		if d.searchers[i].usable() && d.searchers[i].ejectedUntil <= now {
-			return false
-		}
-	}
-	return true
-}
-
 func (d *Dispatcher) hasAttempt(s *pendingRequest, r int32) bool {
 	for _, id := range s.attempts[:s.sent] {
 		if a := d.findAttempt(id); a != nil && a.searcher == r && !a.cancelled {
@@ -360,44 +326,6 @@
 	r.loadAt = now
 }
 
-// recordFailure ejects the searcher after several consecutive failures, unless fewer
-// than half of the usable searchers would then remain.
-func (d *Dispatcher) recordFailure(now grclock.Millis, r *searcherState) {
-	r.consecutiveFailures++
-	if r.consecutiveFailures < d.Policy.EjectAfter || r.ejectedUntil > now {
-		return
-	}
-	usable, notEjected := 0, 0
-	for i := range d.searchers {
-		if !d.searchers[i].usable() {
-			continue
-		}
-		usable++
-		if d.searchers[i].ejectedUntil <= now {
-			notEjected++
-		}
-	}
-	if (notEjected-1)*2 < usable {
-		return
-	}
-	step := min(r.ejections, maxEjectSteps)
-	r.ejectedUntil = now + d.Policy.EjectFor<<step
-	r.ejections++
-	r.consecutiveFailures = 0
-	r.slowStartAt = r.ejectedUntil
-	d.Counters.Ejections++
-}
-
-func (d *Dispatcher) recordSuccess(r *searcherState) { r.consecutiveFailures, r.ejections = 0, 0 }
-
-// backOff pauses new work to the searcher. The pause doubles each time until the
-// searcher answers, and is jittered between half and all of its length.
-func (d *Dispatcher) backOff(now grclock.Millis, r *searcherState) {
-	pause := min(d.Policy.BackoffMax, initialBackoff<<r.backoffStep)
-	r.backoffUntil = now + pause/2 + grclock.Millis(d.Random.IntN(int(pause/2)+1))
-	r.backoffStep = min(r.backoffStep+1, maxBackoffStep)
-}
-
 func (d *Dispatcher) shrinkWindow(r *searcherState) {
 	if !d.Policy.FixedWindow {
 		r.window = max(1, r.window*0.7)
--- a/coordination/grrouter/admission.go
+++ b/coordination/grrouter/admission.go
@@ -8,14 +8,17 @@
 	"geraniumrouter/state/grerror"
 )
 
-// admitRoute rejects a request whose sub-requests the rate limits of the searchers do not permit
-// in time, one that would wait in queues until its deadline (see rejectEarly), and one beyond
+// admitRoute rejects a request whose searchers refuse requests for too long, one whose
+// sub-requests their rate limits do not permit in time, one that would wait in queues until its deadline (see rejectEarly), and one beyond
 // the number of requests in flight. How long answers take is no reason: a slow answer before
 // the deadline is worth more than a rejection.
 func (r *Router) admitRoute(now grclock.Millis, q *query, req *RouteRequest) grerror.Code {
 	if q.route.isGroup && now >= q.route.partialDeadline {
 		return grerror.DeadlineTooShort // The requesting instance has bypassed this one by now.
 	}
+	if !q.route.isGroup && r.refused(now, q) {
+		return grerror.SearchersRefuse
+	}
 	if !q.route.isGroup && r.rateLimited(now, q) {
 		return grerror.RateLimited
 	}
@@ -45,6 +48,9 @@
 	if longest == 0 {
 		longest = q.deadline - now
 	}
+	if code == grerror.SearchersRefuse {
+		result.RetryAfter = r.retryAfterRefusal(now, q)
+	}
 	if q.route.rejectedFor > 0 {
 		result.RetryAfter, result.WorkOff = r.spreadRetryAfter(q.route.rejectedFor, longest), r.workOffTime(now, q)
 	}
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -376,5 +376,8 @@
 			result.Code = grerror.RateLimited
 		}
 		result.RetryAfter = r.retryAfter(now, q)
+		if rs.refused() {
+			result.Code, result.RetryAfter = grerror.SearchersRefuse, r.retryAfterRefusal(now, q)
+		}
 	}
 }
--- a/state/grerror/error.go
+++ b/state/grerror/error.go
@@ -20,6 +20,7 @@
 	Overloaded        Code = "overloaded"
 	OverShare         Code = "over_share"
 	RateLimited       Code = "rate_limited"
+	SearchersRefuse   Code = "searchers_refuse"
 	QuotaExceeded     Code = "quota_exceeded"
 	DeadlineTooShort  Code = "deadline_too_short"
 	NotReady          Code = "not_ready"
@@ -60,6 +61,7 @@
 	Overloaded:        "it could not be answered in time under the present load",
 	OverShare:         "capacity is short, and its organisation or caller has used more than its share",
 	RateLimited:       "the rate limits of the searchers permit no answer in time",
+	SearchersRefuse:   "every searcher has asked for no requests for some time",
 	QuotaExceeded:     "the quota of the organisation is used up",
 	DeadlineTooShort:  "the deadline leaves no time to answer",
 	NotReady:          "no preset is known yet",
--- a/transport/grnode/loop.go
+++ b/transport/grnode/loop.go
@@ -260,6 +260,7 @@
 		"hedges_denied":              sum.HedgesDenied,
 		"retries_denied":             sum.RetriesDenied,
 		"searchers_shed":             sum.Sheds,
+		"searchers_refusals":         sum.Refusals,
 		"searchers_ejected":          sum.Ejections,
 		"replies_late":               sum.LateReplies,
 		"connections_opened":         sum.ConnsOpened,
--- a/transport/grnode/monitor.go
+++ b/transport/grnode/monitor.go
@@ -30,7 +30,7 @@
 		grmetric.Set(state, int64(n.routerLoop.openings.Len()), "openings_waiting")
 		for i := range r.ServiceCount() {
 			name, dispatcher := r.ServiceName(int32(i)), r.Dispatcher(int32(i))
-			collectService(state, name, dispatcher)
+			n.collectService(state, name, dispatcher)
 			collectRateLimits(state, string(name), dispatcher.RateLimitUses(n.Clock.Now()))
 			collectCold(state, string(name), dispatcher.ColdUses(n.Clock.Now()))
 		}
@@ -82,7 +82,7 @@
 	}
 }
 
-func collectService(state metrics.Registry, name grident.Service, dispatcher *grdispatch.Dispatcher) {
+func (n *Node) collectService(state metrics.Registry, name grident.Service, dispatcher *grdispatch.Dispatcher) {
 	service := string(name)
 	c := &dispatcher.Counters
 	for kind, number := range map[string]uint64{
@@ -96,7 +96,11 @@
 	}
 	grmetric.Set(state, int64(c.ConnsOpened), "service_connections_opened_total", "service", service)
 	grmetric.Set(state, int64(dispatcher.QueueLen()), "service_waiting", "service", service)
+	now := n.Clock.Now()
 	for i, s := range dispatcher.Searchers() {
+		if left := dispatcher.SearcherRefusesFor(now, int32(i)); left > 0 {
+			grmetric.Set(state, int64(left), "searcher_refuses_ms", "service", service, "searcher", string(s.ID))
+		}
 		if held := dispatcher.ConnCount(int32(i)); held > 0 {
 			labels := []string{"service", service, "searcher", string(s.ID), "leaving", strconv.FormatBool(s.Leaving)}
 			grmetric.Set(state, int64(held), "searcher_connections", labels...)
--- a/transport/grnode/outcome.go
+++ b/transport/grnode/outcome.go
@@ -119,6 +119,9 @@
 	if s.History.RateLimited {
 		to.AddBool("rate_limited", true)
 	}
+	if s.History.Refused {
+		to.AddBool("refused", true)
+	}
 	if s.History.Waiting {
 		to.AddBool("waiting", true)
 	}
