--- a/coordination/grdispatch/availability.go
+++ b/coordination/grdispatch/availability.go
@@ -72,7 +72,8 @@
 
 // recordRefusal records that a searcher asked in its answer to the attempt for no further ones
 // for a time. Of answers to attempts that were in flight together the longest time counts. The
-// jitter keeps the instances that it refused together from returning together.
+// jitter keeps the instances that it refused together from returning together, and the slow start
+// from then on is as long as that time, but no longer than that of a new searcher.
 func (d *Dispatcher) recordRefusal(now grclock.Millis, r *searcherState, a *attempt, span grclock.Millis) {
 	if span <= 0 || a.run != r.Incarnation {
 		return
@@ -81,7 +82,7 @@
 	jitter := min(span/refusalJitter, maxRefusalJitter)
 	until := now + span + grclock.Millis(d.Random.IntN(int(jitter)+1))
 	r.refusedUntil = max(r.refusedUntil, until)
-	r.slowStartAt = r.refusedUntil
+	r.slowStartAt = max(r.slowStartAt, r.refusedUntil-max(d.Policy.SlowStart-span, 0))
 }
 
 // endUnservable ends the waiting sub-requests that cannot be sent in time any more, wherever they
--- a/coordination/grdispatch/rate_limit.go
+++ b/coordination/grdispatch/rate_limit.go
@@ -313,8 +313,8 @@
 }
 
 // unservable reports whether the waiting sub-request cannot be sent in time: every searcher
-// refuses attempts for longer, or no unit of a rate limit is expected. It has the given number of
-// others ahead of it.
+// refuses attempts for longer, which is recorded, or no unit of a rate limit is expected. It has the
+// given number of others ahead of it.
 func (d *Dispatcher) unservable(now grclock.Millis, s *pendingRequest, ahead int) bool {
 	if s.active > 0 {
 		return false
