Refusals of searchers count only where this instance would send

Cause, found by reading: a request was rejected at once when searchers refused this instance, although owners elsewhere would have sent its sub-requests; a searcher refuses one instance only. And a searcher to which this instance may hold no connection counted as one that takes requests, so that requests waited for it until their deadline. Change: the decision is taken once it is known which shards are delegated, and counts the shards that can be sent in time; searchers without a connection for this instance are left out. The time until which an answer is useful is computed in one place. Tests: TestRefusalConcernsOneInstance, TestScripts/refusal_not_holder, which fail before.

--- a/coordination/grdispatch/availability.go
+++ b/coordination/grdispatch/availability.go
@@ -104,7 +104,7 @@
 }
 
 // RefusedFor returns the time until some searcher takes attempts again, if all that accept work
-// have asked for none; else 0.
+// and that this instance may connect to have asked for none; else 0.
 func (d *Dispatcher) RefusedFor(now grclock.Millis) grclock.Millis {
 	return d.refusedFor(now, func(int32) bool { return true })
 }
@@ -114,7 +114,7 @@
 	soonest := grclock.Millis(0)
 	for i := range d.searchers {
 		r := &d.searchers[i]
-		if !r.usable() || !allowed(int32(i)) {
+		if !r.usable() || !allowed(int32(i)) || r.NotHolder && r.conns.total == 0 {
 			continue
 		}
 		if !r.refuses(now) {
--- a/coordination/grdispatch/script_test.go
+++ b/coordination/grdispatch/script_test.go
@@ -85,8 +85,8 @@
 			if _, err := fmt.Sscan(value, &s.Incarnation); err != nil {
 				t.Fatal(err)
 			}
-		case "leaving":
-			s.Leaving = true
+		case "not-holder":
+			s.NotHolder, s.ConnLimit = true, 0
 		}
 	}
 	return s
--- a/coordination/grrouter/admission.go
+++ b/coordination/grrouter/admission.go
@@ -8,17 +8,14 @@
 	"geraniumrouter/state/grerror"
 )
 
-// admitRoute rejects a request whose searchers refuse requests for too long, one whose
-// sub-requests their rate limits do not permit in time, one that would wait in queues until its deadline (see rejectEarly), and one beyond
+// admitRoute rejects a request whose sub-requests the rate limits of the searchers do not permit
+// in time, one that would wait in queues until its deadline (see rejectEarly), and one beyond
 // the number of requests in flight. How long answers take is no reason: a slow answer before
 // the deadline is worth more than a rejection.
 func (r *Router) admitRoute(now grclock.Millis, q *query, req *RouteRequest) grerror.Code {
 	if q.route.isGroup && now >= q.route.partialDeadline {
 		return grerror.DeadlineTooShort // The requesting instance has bypassed this one by now.
 	}
-	if !q.route.isGroup && r.refused(now, q) {
-		return grerror.SearchersRefuse
-	}
 	if !q.route.isGroup && r.rateLimited(now, q) {
 		return grerror.RateLimited
 	}
--- a/coordination/grrouter/rate_limit.go
+++ b/coordination/grrouter/rate_limit.go
@@ -335,11 +335,15 @@
 		return false
 	}
 	wait := r.requiredWait(q, func(d *grdispatch.Dispatcher) grclock.Millis { return d.RateLimitWait(now) })
-	usefulUntil := q.deadline
+	return float64(wait) > gradmission.MaxWaitRatio*float64(q.usefulUntil(now)-now)
+}
+
+// usefulUntil returns the time until which an answer is of full use or, if that has passed, of any.
+func (q *query) usefulUntil(now grclock.Millis) grclock.Millis {
 	if q.route.partialDeadline > now {
-		usefulUntil = q.route.partialDeadline
+		return q.route.partialDeadline
 	}
-	return float64(wait) > gradmission.MaxWaitRatio*float64(usefulUntil-now)
+	return q.deadline
 }
 
 // readyShards returns the number of shards of the request that no rate limit delays.
--- a/coordination/grrouter/refusal.go
+++ b/coordination/grrouter/refusal.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"geraniumrouter/coordination/grdispatch"
 	"geraniumrouter/state/grclock"
 )
 
@@ -14,21 +13,18 @@
 // which rejected callers that cannot return in time are spread.
 const refusalSpread = 4
 
-// refused reports whether too few services of the request have a searcher that takes requests in
-// time.
+// refused reports whether the searchers of too many services refuse requests of this instance for
+// too long. Those of delegated shards refuse other instances, if any.
 func (r *Router) refused(now grclock.Millis, q *query) bool {
-	usefulUntil := q.deadline
-	if q.route.partialDeadline > now {
-		usefulUntil = q.route.partialDeadline
+	usefulUntil := q.usefulUntil(now)
+	ready := 0
+	for i, dispatcher := range q.dispatchers {
+		wait := r.dispatchers[dispatcher].RefusedFor(now)
+		if q.isDelegated(i) || wait == 0 || now+wait <= usefulUntil {
+			ready++
+		}
 	}
-	wait := r.refusedFor(now, q)
-	return wait > 0 && now+wait > usefulUntil
-}
-
-// refusedFor returns the time until enough services of the request have a searcher that takes
-// requests again; 0 if they have.
-func (r *Router) refusedFor(now grclock.Millis, q *query) grclock.Millis {
-	return r.requiredWait(q, func(d *grdispatch.Dispatcher) grclock.Millis { return d.RefusedFor(now) })
+	return ready < q.route.requiredParts()
 }
 
 // retryAfterRefusal returns the retry-after time for a request that searchers refuse. It is not
--- a/coordination/grrouter/refusal_test.go
+++ b/coordination/grrouter/refusal_test.go
@@ -26,7 +26,7 @@
 	r.fanOut = &grroutes.Route{Name: "all", FanOut: true, Idempotent: true, MinSuccessShare: 0.4, LatencyObjective: 400, Timeout: 6000, Targets: []grroutes.Target{{Weight: 1, Services: services}}}
 	var out Output
 	for _, s := range services {
-		r.SetService(0, s, []grdispatch.Searcher{{ID: grident.SearcherID(s) + "/1", Slots: 8, ConnLimit: 8}}, &out)
+		r.SetService(0, s, []grdispatch.Searcher{{ID: grident.SearcherID(s) + "/1", Domain: "d2", Slots: 8, ConnLimit: 8}}, &out)
 	}
 	for _, a := range out.Actions {
 		r.ConnOpened(0, a.Service, a.Searcher, a.Conn, &Output{})
@@ -94,3 +94,15 @@
 		t.Errorf("%v with %d of %d shards, want partial with 1 of 2", got.Outcome, len(got.PartialResults), got.ShardsRequested)
 	}
 }
+
+// TestRefusalConcernsOneInstance guards against requests that are rejected since searchers refuse
+// this instance, although other instances would send their sub-requests.
+func TestRefusalConcernsOneInstance(t *testing.T) {
+	r := newRefusalRouter(t)
+	r.refuse(1000, 5000)
+	r.SetPeers(1050, []Peer{{ID: "b", Domain: "d2"}, {ID: "c", Domain: "d2"}}, &Output{})
+	r.fanOut.MinSuccessShare = 1
+	if out := r.start(1100, r.fanOut); len(out.Results) > 0 {
+		t.Errorf("ended at once: %v, %s", out.Results[0].Outcome, out.Results[0].Code)
+	}
+}
--- a/coordination/grrouter/route.go
+++ b/coordination/grrouter/route.go
@@ -163,6 +163,11 @@
 		q.route.delegated = resizedCleared(q.route.delegated, len(q.dispatchers))
 	} else {
 		r.delegate(now, q)
+		if r.refused(now, q) {
+			r.admission.Release(q.collectionName)
+			r.refuseRoute(now, q, grerror.SearchersRefuse, out)
+			return
+		}
 	}
 	if q.route.partialDeadline < q.deadline {
 		r.deadlines.Push(timer{q.route.partialDeadline, q.id})
