--- a/review/standin-3/split.go
+++ b/review/standin-3/split.go
@@ -42,13 +42,9 @@
 	}
 	first, second, third := w.instances[0], w.instances[1], w.instances[2]
 	third.zone = second.zone
-	stale := make([]string, 3) // of machines that were replaced before
-	for k := range stale {
-		address, err := freeAddress(first.ip)
-		if err != nil {
-			return w.failed(err)
-		}
-		stale[k] = address
+	stale, err := freeAddresses(first.ip, 3) // of machines that were replaced before
+	if err != nil {
+		return w.failed(err)
 	}
 	for _, i := range w.instances {
 		i.seeds = stale
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -87,13 +87,18 @@
 	_ = w.record.Close()
 }
 
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns addresses at which nothing listens.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // Only at the end, so that no address comes twice.
+		list = append(list, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return list, nil
 }
 
 var zones = []string{"obihiro", "kushiro", "nakashibetsu", "shihoro"}
@@ -103,13 +108,11 @@
 	subnet := 20 + os.Getpid()%200
 	for k := range n {
 		i := &instance{world: w, name: fmt.Sprintf("front-%d", k+1), ip: fmt.Sprintf("127.0.%d.%d", subnet, 11+k), zone: zones[k%len(zones)]}
-		for _, a := range []*string{&i.front, &i.readiness, &i.control, &i.directory} {
-			address, err := freeAddress(i.ip)
-			if err != nil {
-				return err
-			}
-			*a = address
+		list, err := freeAddresses(i.ip, 4)
+		if err != nil {
+			return err
 		}
+		i.front, i.readiness, i.control, i.directory = list[0], list[1], list[2], list[3]
 		w.instances = append(w.instances, i)
 	}
 	for _, i := range w.instances {
