--- a/review/standin-3/split.go
+++ b/review/standin-3/split.go
@@ -21,13 +21,12 @@
 	judgedTime  = 16 * time.Second
 )
 
-// split: of two instances the first is restarted and the second replaced by a third. The store
-// loses the answer to one call of the first, which it executes seconds later.
-func split(w *world, trouble bool) int {
+// prepareQuota prepares a deployment with one tenant and n instances, whose seeds are gone.
+func (w *world) prepareQuota(n int) error {
 	for k := range 4 {
 		s := &searcher{id: "i-" + randomHex(4), service: "tanaoroshi", zone: zones[k], slots: 32, queue: 64}
 		if err := w.startSearcher(s); err != nil {
-			return w.failed(err)
+			return err
 		}
 	}
 	w.setConfig(7,
@@ -37,44 +36,29 @@
 		}},
 		[]map[string]any{service("tanaoroshi", 100)},
 		[]map[string]any{{"name": "growers", "api_keys": []string{"key-1"}, "rate_per_s": splitRate, "burst": splitBurst}})
-	if err := w.addInstances(3); err != nil {
-		return w.failed(err)
-	}
-	first, second, third := w.instances[0], w.instances[1], w.instances[2]
-	third.zone = second.zone
-	stale, err := freeAddresses(first.ip, 3) // of machines that were replaced before
-	if err != nil {
-		return w.failed(err)
+	if err := w.addInstances(n); err != nil {
+		return err
 	}
+	stale, err := freeAddresses(w.instances[0].ip, 3) // of machines that were replaced before
 	for _, i := range w.instances {
 		i.seeds = stale
 	}
-	w.store.loseRemoval(w, first.name, splitLate, trouble)
-	if err := w.startInstances(first, second); err != nil {
-		return w.failed(err)
-	}
-	time.Sleep(stableTime)
+	return err
+}
 
+// judge lets clients send requests of the tenant, plays the steps, and applies the rule.
+func (w *world) judge(callers func(c *client) []*caller, steps func() error) int {
 	c := w.newClient("pupu76.example")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wait sync.WaitGroup
-	for _, l := range []*caller{
-		c.newCaller(first.zone, first.directory, second.directory, third.directory),
-		c.newCaller(second.zone, second.directory, third.directory, first.directory),
-	} {
+	for _, l := range callers(c) {
 		l.sendAll(ctx, &wait, splitDemand, "/timi402/2f", "key-1", 1500*time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
-	if err := first.replaceBy(first); err != nil {
+	if err := steps(); err != nil {
 		return w.failed(err)
 	}
-	time.Sleep(stableTime)
-	w.noteRegistered()
-	if err := second.replaceBy(third); err != nil {
-		return w.failed(err)
-	}
-	time.Sleep(stableTime)
 	w.noteRegistered()
 	time.Sleep(judgedTime)
 	cancel()
@@ -83,6 +67,39 @@
 	return w.checkQuota(c)
 }
 
+// split: of two instances the first is restarted and the second replaced by a third. The store
+// loses the answer to one call of the first, which it executes seconds later.
+func split(w *world, trouble bool) int {
+	if err := w.prepareQuota(3); err != nil {
+		return w.failed(err)
+	}
+	first, second, third := w.instances[0], w.instances[1], w.instances[2]
+	third.zone = second.zone
+	w.store.loseRemoval(w, first.name, splitLate, trouble)
+	if err := w.startInstances(first, second); err != nil {
+		return w.failed(err)
+	}
+	time.Sleep(stableTime)
+
+	return w.judge(func(c *client) []*caller {
+		return []*caller{
+			c.newCaller(first.zone, first.directory, second.directory, third.directory),
+			c.newCaller(second.zone, second.directory, third.directory, first.directory),
+		}
+	}, func() error {
+		if err := first.replaceBy(first); err != nil {
+			return err
+		}
+		time.Sleep(stableTime)
+		w.noteRegistered()
+		if err := second.replaceBy(third); err != nil {
+			return err
+		}
+		time.Sleep(stableTime)
+		return nil
+	})
+}
+
 // replaceBy ends the process as planned, and starts another one.
 func (i *instance) replaceBy(other *instance) error {
 	i.signal(syscall.SIGTERM)
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -21,6 +22,9 @@
 	kinds    map[string]map[string]*storeObject
 	history  []storeEvent
 	changed  chan struct{} // closed at the next change
+	era      uint64        // how often the store has come back from a copy
+	oldest   uint64        // revision from which on its history is there
+	away     bool          // calls end without an answer
 	// lateRemoval, if set, selects calls that remove an object whose answer is lost and that are
 	// executed after the time returned.
 	lateRemoval func(kind, name string) (after time.Duration, late bool)
@@ -124,6 +128,8 @@
 		name = parts[1]
 	}
 	query := r.URL.Query()
+	s.stateEra(w)
+	s.abortIfAway()
 	switch {
 	case r.Method == http.MethodGet && name == "" && query.Has("watch"):
 		s.watch(w, r, kind)
@@ -195,7 +201,14 @@
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_timeout_ms"), 10, 64)
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
+		s.abortIfAway()
 		s.mu.Lock()
+		if from > s.revision || from < s.oldest {
+			s.mu.Unlock()
+			s.stateEra(w)
+			reply(w, http.StatusGone, nil)
+			return
+		}
 		events := []storeEvent{}
 		for i := len(s.history) - 1; i >= 0 && s.history[i].revision > from; i-- {
 			if s.history[i].kind == kind {
@@ -261,3 +274,61 @@
 		reply(w, http.StatusMethodNotAllowed, nil)
 	}
 }
+
+func (s *store) stateEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
+// storeCopy is a copy of the store's state.
+type storeCopy struct {
+	revision uint64
+	kinds    map[string]map[string]*storeObject
+}
+
+// copyState makes a copy.
+func (s *store) copyState() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{s.revision, make(map[string]map[string]*storeObject)}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// abortIfAway ends the call and its connection while the store is away.
+func (s *store) abortIfAway() {
+	s.mu.Lock()
+	away := s.away
+	s.mu.Unlock()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// goAway lets the store answer nothing until it comes back.
+func (s *store) goAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// comeBack lets the store come back from a copy. What the operator and the searchers wrote since
+// is written again at once.
+func (s *store) comeBack(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	written := s.kinds
+	s.away = false
+	s.era++
+	s.revision, s.kinds, s.oldest, s.history = c.revision, c.kinds, c.revision, nil
+	for _, kind := range []string{"config", "servers"} {
+		for name, o := range written[kind] {
+			s.write(kind, name, o.Spec)
+		}
+	}
+}
