--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE RECORD")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(w *world, trouble bool) int{"split": split, "drill": drill}
+	cases := map[string]func(w *world, trouble bool) int{"split": split, "drill": drill, "gone": gone}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
